--- /dev/null
+++ b/core/clock/src/seeded-random.ts
@@ -0,0 +1,17 @@
+import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
+import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
+import {RandomSource} from './random.js';
+
+/** A source of chance that yields the same numbers for the same seed. */
+export class SeededRandom extends RandomSource {
+	readonly #generator: ReturnType<typeof xoroshiro128plus>;
+
+	constructor(seed: number) {
+		super();
+		this.#generator = xoroshiro128plus(seed);
+	}
+
+	override drawFraction(): number {
+		return uniformFloat64(this.#generator);
+	}
+}
--- /dev/null
+++ b/node/guard/src/backend-client.ts
@@ -0,0 +1,97 @@
+import {
+	createNotRun, createOutcomeUnknown, type Header, type RequestResult, type RoutedRequest,
+} from '@buckthornpoint/types/requests.js';
+import {formatFence, type Fence} from '@buckthornpoint/types/identity.js';
+import type {BackendServer} from '@buckthornpoint/types/membership.js';
+import {Pool, type Dispatcher} from 'undici';
+
+const refusedHeader = 'buckthornpoint-refused';
+const hopByHopHeaders = new Set(['connection', 'keep-alive', 'transfer-encoding', 'upgrade', 'te', 'trailer', 'proxy-connection', 'host', 'content-length', 'expect']);
+
+/** Limits that the node keeps towards one backend server. */
+export type BackendClientOpts = {
+	/** The most connections that are open at once. */
+	readonly maxConnections: number;
+};
+
+/** Speaks HTTP to the backend server beside the node. */
+export class BackendClient {
+	readonly #pool: Pool;
+
+	constructor(backendServer: BackendServer, opts: BackendClientOpts) {
+		this.#pool = new Pool(backendServer.origin, {connections: opts.maxConnections, pipelining: 1});
+	}
+
+	/** Sends the request under the fence and returns the whole answer, or a failure that says whether it may have run. */
+	async send(routed: RoutedRequest, fence: Fence, signal: AbortSignal): Promise<RequestResult> {
+		try {
+			const response = await this.#pool.request({
+				method: routed.method,
+				path: routed.path,
+				headers: createHeaders(routed, fence),
+				body: routed.body.length === 0 ? undefined : routed.body,
+				signal,
+			});
+			const body = await response.body.bytes();
+			return createResult(routed, fence, response, body);
+		} catch (error) {
+			return createFailure(routed, error);
+		}
+	}
+
+	/** Closes all connections; what runs on them is lost. */
+	async close(): Promise<void> {
+		await this.#pool.destroy();
+	}
+}
+
+function createResult(routed: RoutedRequest, fence: Fence, response: Dispatcher.ResponseData, body: Uint8Array): RequestResult {
+	const refused = response.headers[refusedHeader];
+	if (refused !== undefined) {
+		return createNotRun(routed.requestId, 'backend-server-refused', `the backend server refused the request: ${String(refused)}`);
+	}
+
+	const echoed = response.headers['buckthornpoint-request-id'];
+	if (echoed !== undefined && echoed !== routed.requestId) {
+		return createOutcomeUnknown(routed.requestId, 'lost-answer', 'the backend server answered another request');
+	}
+
+	return {
+		kind: 'answer', requestId: routed.requestId, status: response.statusCode, headers: listHeaders(response.headers), body, fence,
+	};
+}
+
+function createFailure(routed: RoutedRequest, error: unknown): RequestResult {
+	if (error instanceof Error && 'code' in error && error.code === 'ECONNREFUSED') {
+		return createNotRun(routed.requestId, 'backend-server-unreachable', 'the backend server refused the connection');
+	}
+
+	return createOutcomeUnknown(routed.requestId, 'lost-answer', `the answer of the backend server was lost: ${String(error)}`);
+}
+
+function createHeaders(routed: RoutedRequest, fence: Fence): Record<string, string> {
+	const headers: Record<string, string> = {};
+	for (const [name, value] of routed.headers) {
+		if (!hopByHopHeaders.has(name)) {
+			headers[name] = value;
+		}
+	}
+
+	headers['buckthornpoint-request-id'] = routed.requestId;
+	headers['buckthornpoint-service'] = routed.service;
+	headers['buckthornpoint-key'] = routed.key;
+	headers['buckthornpoint-partition'] = String(routed.partition);
+	headers['buckthornpoint-fence'] = formatFence(fence);
+	headers['buckthornpoint-deadline-ms'] = String(Math.max(0, Math.floor(routed.remainingMs)));
+	return headers;
+}
+
+function listHeaders(headers: Dispatcher.ResponseData['headers']): readonly Header[] {
+	return Object.entries(headers).flatMap(([name, value]): readonly Header[] => {
+		if (value === undefined || hopByHopHeaders.has(name)) {
+			return [];
+		}
+
+		return Array.isArray(value) ? value.map((single): Header => [name, single]) : [[name, value]];
+	});
+}
--- /dev/null
+++ b/node/router/src/convert.ts
@@ -0,0 +1,107 @@
+import {create} from '@bufbuild/protobuf';
+import {
+	AnswerSchema, FailureSchema, ForwardRequestSchema, ForwardResponseSchema, type ForwardRequest, type ForwardResponse,
+} from '@buckthornpoint/protocol/generated/buckthornpoint/v1/peer_pb.js';
+import type {RequestClass} from '@buckthornpoint/types/configuration.js';
+import {
+	createNotRun, createOutcomeUnknown, type FailureReason, type Header, type RequestResult, type RoutedRequest,
+} from '@buckthornpoint/types/requests.js';
+import {err, ok, type Result} from 'neverthrow';
+
+/** Encodes a request for the way between two nodes. */
+export function encodeRequest(routed: RoutedRequest): ForwardRequest {
+	return create(ForwardRequestSchema, {
+		...routed,
+		headers: encodeHeaders(routed.headers),
+		remainingMs: Math.max(0, Math.floor(routed.remainingMs)),
+		bodyLength: routed.body.length,
+		targetVmId: routed.target.vmId,
+		targetIncarnation: routed.target.incarnation,
+	});
+}
+
+/** Decodes a request; a body that is not as long as it was sent is a failure that ran nothing. */
+export function decodeRequest(message: ForwardRequest): Result<RoutedRequest, RequestResult> {
+	if (message.body.length !== message.bodyLength) {
+		return err(createNotRun(message.requestId, 'body-cut-short', 'the body of the request was cut short between two nodes'));
+	}
+
+	return ok({
+		requestId: message.requestId,
+		service: message.service,
+		key: message.key,
+		partition: message.partition,
+		tenant: message.tenant,
+		idempotent: message.idempotent,
+		requestClass: message.requestClass as RequestClass, // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion
+		remainingMs: message.remainingMs,
+		method: message.method,
+		path: message.path,
+		headers: decodeHeaders(message.headers),
+		body: message.body,
+		target: {vmId: message.targetVmId, incarnation: message.targetIncarnation},
+	});
+}
+
+/** Encodes a result for the way back. */
+export function encodeResult(result: RequestResult): ForwardResponse {
+	if (result.kind === 'failure') {
+		return create(ForwardResponseSchema, {
+			requestId: result.requestId,
+			result: {
+				case: 'failure', value: create(FailureSchema, {
+					outcome: result.outcome, reason: result.reason, message: result.message, retryAfterMs: result.retryAfterMs,
+				}),
+			},
+		});
+	}
+
+	return create(ForwardResponseSchema, {
+		requestId: result.requestId,
+		result: {
+			case: 'answer', value: create(AnswerSchema, {
+				status: result.status,
+				headers: encodeHeaders(result.headers),
+				body: result.body,
+				bodyLength: result.body.length,
+				fence: result.fence === undefined ? undefined : {epoch: BigInt(result.fence.epoch), counter: BigInt(result.fence.counter)},
+			}),
+		},
+	});
+}
+
+/** Decodes the result of a request; an answer to another request, or one cut short, is dropped. */
+export function decodeResult(requestId: string, message: ForwardResponse): RequestResult {
+	if (message.requestId !== requestId) {
+		return createOutcomeUnknown(requestId, 'lost-answer', 'a node answered another request');
+	}
+
+	if (message.result.case === 'failure') {
+		const {outcome, reason, message: text, retryAfterMs} = message.result.value;
+		return outcome === 'not-run'
+			? createNotRun(requestId, reason as FailureReason, text, retryAfterMs) // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion
+			: createOutcomeUnknown(requestId, reason as FailureReason, text); // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion
+	}
+
+	const answer = message.result.value;
+	if (answer === undefined || answer.body.length !== answer.bodyLength) {
+		return createOutcomeUnknown(requestId, 'lost-answer', 'an answer was cut short between two nodes');
+	}
+
+	return {
+		kind: 'answer',
+		requestId,
+		status: answer.status,
+		headers: decodeHeaders(answer.headers),
+		body: answer.body,
+		fence: answer.fence === undefined ? undefined : {epoch: Number(answer.fence.epoch), counter: Number(answer.fence.counter)},
+	};
+}
+
+function encodeHeaders(headers: readonly Header[]): Array<{name: string; value: string}> {
+	return headers.map(([name, value]) => ({name, value}));
+}
+
+function decodeHeaders(headers: ReadonlyArray<{readonly name: string; readonly value: string}>): readonly Header[] {
+	return headers.map((header): Header => [header.name, header.value]);
+}
--- /dev/null
+++ b/stand-ins/table-service/src/table-service.ts
@@ -0,0 +1,140 @@
+import {Buffer} from 'node:buffer';
+import type {AddressInfo} from 'node:net';
+import {serve, type ServerType} from '@hono/node-server';
+import type {Clock} from '@buckthornpoint/clock/clock.js';
+import type {Transaction} from '@buckthornpoint/table-store/table-store.js';
+import {Hono} from 'hono';
+import {noFaults, type StoreFaults} from './faults.js';
+import {RowTable} from './row-table.js';
+
+const statusConflict = 409;
+const statusUnavailable = 503;
+const msPerSecond = 1000;
+
+/** How often the stand-in was used. */
+export type StoreUse = {
+	readonly reads: number;
+	readonly writes: number;
+};
+
+/** A table service and object store in memory, with faults on request. For tests and for trying out. */
+export class TableService {
+	readonly #clock: Clock;
+	readonly #table = new RowTable();
+	readonly #objects = new Map<string, Uint8Array>();
+	#faults: StoreFaults = noFaults;
+	#use: StoreUse = {reads: 0, writes: 0};
+	#second = {startMs: 0, reads: 0, writes: 0};
+	#server: ServerType | undefined;
+
+	constructor(clock: Clock) {
+		this.#clock = clock;
+	}
+
+	/** Returns how often the service was used since it started. */
+	get use(): StoreUse {
+		return this.#use;
+	}
+
+	/** Starts to listen on loopback and returns the origin. Port 0 takes any free port. */
+	async open(port = 0): Promise<string> {
+		const app = this.#createApp();
+		const bound = await new Promise<number>(resolve => {
+			this.#server = serve({fetch: app.fetch, hostname: '127.0.0.1', port}, (info: AddressInfo) => {
+				resolve(info.port);
+			});
+		});
+		return `http://127.0.0.1:${bound}`;
+	}
+
+	/** Changes some of the faults. */
+	setFaults(faults: Partial<StoreFaults>): void {
+		this.#faults = {...this.#faults, ...faults};
+	}
+
+	/** Stops listening and closes all connections. */
+	async close(): Promise<void> {
+		const server = this.#server;
+		if (server === undefined) {
+			return;
+		}
+
+		await new Promise<void>(resolve => {
+			server.close(() => {
+				resolve();
+			});
+			if ('closeAllConnections' in server) {
+				server.closeAllConnections();
+			}
+		});
+	}
+
+	#createApp(): Hono {
+		const app = new Hono();
+		app.put('/v1/faults', async context => {
+			this.setFaults(await context.req.json<Partial<StoreFaults>>());
+			return context.json(this.#faults);
+		});
+		app.get('/v1/use', context => context.json(this.#use));
+		app.use('/v1/*', async (context, next) => {
+			await this.#clock.sleep(this.#faults.delayMs);
+			const admitted = this.#admit(context.req.method === 'GET');
+			if (!admitted) {
+				return context.json({error: 'unavailable'}, statusUnavailable);
+			}
+
+			await next();
+			return undefined;
+		});
+		this.#addRows(app);
+		this.#addObjects(app);
+		return app;
+	}
+
+	#addRows(app: Hono): void {
+		app.get('/v1/rows', context => context.json({rows: this.#table.readRows(context.req.query('prefix') ?? '')}));
+		app.get('/v1/rows/:key', context => {
+			const row = this.#table.readRow(context.req.param('key'));
+			return row === undefined ? context.json({error: 'no such row'}, 404) : context.json(row);
+		});
+		app.post('/v1/transactions', async context => {
+			const committed = this.#table.commitTransaction(await context.req.json<Transaction>());
+			if (this.#faults.loseAnswers > 0) {
+				this.#faults = {...this.#faults, loseAnswers: this.#faults.loseAnswers - 1};
+				await new Promise(() => {
+					// The answer is lost: it never comes.
+				});
+			}
+
+			return committed ? context.json({}) : context.json({error: 'conflict'}, statusConflict);
+		});
+	}
+
+	#addObjects(app: Hono): void {
+		app.put('/v1/objects/:name', async context => {
+			this.#objects.set(context.req.param('name'), new Uint8Array(await context.req.arrayBuffer()));
+			return context.json({});
+		});
+		app.get('/v1/objects/:name', context => {
+			const bytes = this.#objects.get(context.req.param('name'));
+			return bytes === undefined ? context.json({error: 'no such object'}, 404) : context.body(Buffer.from(bytes));
+		});
+	}
+
+	#admit(isRead: boolean): boolean {
+		const now = this.#clock.readMoment().monotonicMs;
+		if (now - this.#second.startMs >= msPerSecond) {
+			this.#second = {startMs: now, reads: 0, writes: 0};
+		}
+
+		const limit = isRead ? this.#faults.maxReadsPerSecond : this.#faults.maxWritesPerSecond;
+		const used = isRead ? this.#second.reads : this.#second.writes;
+		if (this.#faults.down || used >= limit) {
+			return false;
+		}
+
+		this.#second = isRead ? {...this.#second, reads: used + 1} : {...this.#second, writes: used + 1};
+		this.#use = isRead ? {...this.#use, reads: this.#use.reads + 1} : {...this.#use, writes: this.#use.writes + 1};
+		return true;
+	}
+}
