--- a/core/types/src/membership.ts
+++ b/core/types/src/membership.ts
@@ -13,6 +13,8 @@
 	/** Whether it refuses a request whose fence is older than one it has seen. */
 	readonly checksFence: boolean;
 	readonly incarnation: Incarnation;
+	/** Whether it is about to stop: it gets no new work, and finishes what runs. */
+	readonly leaving: boolean;
 };
 
 /** Where a node can be reached by other nodes and by callers. */
--- a/node/daemon/src/announcement-api.ts
+++ b/node/daemon/src/announcement-api.ts
@@ -7,7 +7,7 @@
 const statusInvalid = 400;
 
 const announcementCodec = Codec.interface({
-	name: string, service: string, origin: string, slots: number, checksFence: boolean, incarnation: string,
+	name: string, service: string, origin: string, slots: number, checksFence: boolean, incarnation: string, leaving: boolean,
 });
 
 /** Creates the HTTP interface on which the backend server beside the node announces itself. */
--- a/stand-ins/backend-server/src/backend-server.ts
+++ b/stand-ins/backend-server/src/backend-server.ts
@@ -8,7 +8,7 @@
 const statusOverloaded = 503;
 
 /** How the stand-in is set up. */
-export type BackendServerOpts = Omit<BackendServer, 'origin'> & {
+export type BackendServerOpts = Omit<BackendServer, 'origin' | 'leaving'> & {
 	/** Origin of the node beside it, to which it announces itself. */
 	readonly nodeOrigin: string;
 	/** Time that a request takes, in milliseconds. */
@@ -96,7 +96,7 @@
 				method: 'POST',
 				headers: {'content-type': 'application/json'},
 				body: JSON.stringify({
-					name, service, origin, slots, checksFence, incarnation,
+					name, service, origin, slots, checksFence, incarnation, leaving: false,
 				}),
 			});
 			await response.body.dump();
--- a/xo.config.js
+++ b/xo.config.js
@@ -2,6 +2,7 @@
 const config = [
 	{ignores: ['**/lib/**', '**/generated/**']},
 	{
+		files: ['**/*.ts'],
 		rules: {
 			'unicorn/prevent-abbreviations': ['error', {
 				allowList: {
