--- /dev/null
+++ b/wire/protocol/src/convert-identity.ts
@@ -0,0 +1,46 @@
+import {BuckthornpointError} from '@buckthornpoint/errors/errors.js';
+import type {Fence, NodeIdentity} from '@buckthornpoint/types/identity.js';
+import type {Node} from './generated/buckthornpoint/v1/cell_pb.js';
+import type {Fence as WireFence} from './generated/buckthornpoint/v1/peer_pb.js';
+
+/** The fields of a fence on the wire. */
+export type FenceFields = {
+	readonly epoch: bigint;
+	readonly counter: bigint;
+};
+
+/** Converts a fence to its form on the wire. */
+export function encodeFence({epoch, counter}: Fence): FenceFields {
+	return {epoch: BigInt(epoch), counter: BigInt(counter)};
+}
+
+/** Converts a fence from its form on the wire. Throws `ERR_DOCUMENT_VALUE` when it is absent. */
+export function decodeFence(fence: WireFence | undefined): Fence {
+	const {epoch, counter} = expectPresent(fence, 'fence');
+	return {epoch: Number(epoch), counter: Number(counter)};
+}
+
+/** Converts the identity of a node to its form on the wire. */
+export function encodeNode({vmId, incarnation}: NodeIdentity): NodeIdentity {
+	return {vmId, incarnation};
+}
+
+/** Converts the identity of a node from its form on the wire. Throws `ERR_DOCUMENT_VALUE` when it is absent. */
+export function decodeNode(node: Node | undefined): NodeIdentity {
+	const {vmId, incarnation} = expectPresent(node, 'node');
+	return {vmId, incarnation};
+}
+
+/** Returns the value, or throws `ERR_DOCUMENT_VALUE` when the message lacks it. */
+export function expectPresent<T>(value: T | undefined, name: string): T {
+	if (value === undefined) {
+		throw new BuckthornpointError('ERR_DOCUMENT_VALUE', `the message has no ${name}`);
+	}
+
+	return value;
+}
+
+/** Returns the word if it is one of the known ones, or throws `ERR_DOCUMENT_VALUE`. */
+export function expectWord<Word extends string>(word: string, known: readonly Word[]): Word {
+	return expectPresent(known.find(candidate => candidate === word), `known word in place of "${word}"`);
+}
