--- a/wire/protocol/test/control-message.test.ts
+++ b/wire/protocol/test/control-message.test.ts
@@ -103,12 +103,12 @@
 	for (const message of messages) {
 		const envelope = {from: node, toIncarnation: 'a2', message};
 		const decoded = decodeControlMessage(encodeControlMessage(envelope));
-		assert.deepEqual(withoutAbsent(decoded._unsafeUnwrap()), withoutAbsent(envelope));
+		assert.deepEqual(filterAbsent(decoded._unsafeUnwrap()), filterAbsent(envelope));
 	}
 });
 
 test('a routing table is the same after it was stored as an object', () => {
-	assert.deepEqual(withoutAbsent(decodeRoutingObject(encodeRoutingObject(routing))._unsafeUnwrap()), routing);
+	assert.deepEqual(filterAbsent(decodeRoutingObject(encodeRoutingObject(routing))._unsafeUnwrap()), routing);
 });
 
 test('bytes that are no message are refused with a typed error and never throw', () => {
@@ -120,7 +120,7 @@
 });
 
 // Members that are absent and members that are undefined mean the same.
-function withoutAbsent(value: unknown): unknown {
+function filterAbsent(value: unknown): unknown {
 	const text = JSON.stringify(value);
 	return JSON.parse(text);
 }
