feat: drive the machine of a cell from one task

Cause: nothing carried out what the pure machine of a cell decides. Change: CellTask feeds the machine from one mailbox, delivers its messages by the Deliver call, runs its store operations and timers and publishes its views. The daemon keeps the naive registration until it is given the machine. Shown: eight tests with a scripted machine and on loopback. Taking out the wake after a stall makes one of them fail.

--- /dev/null
+++ b/node/cell/src/cell-rows.ts
@@ -0,0 +1,111 @@
+import type {Clock} from '@buckthornpoint/clock/clock.js';
+import {toResult} from '@buckthornpoint/documents/either.js';
+import {BuckthornpointError} from '@buckthornpoint/errors/errors.js';
+import type {Log} from '@buckthornpoint/log/log.js';
+import type {Metrics} from '@buckthornpoint/metrics/metrics.js';
+import type {
+	CellRows, CellWrite, Versioned, WriteOutcome,
+} from '@buckthornpoint/ownership/records.js';
+import type {
+	Row, RowWrite, StoreFailure, TableStore,
+} from '@buckthornpoint/table-store/table-store.js';
+import type {Configuration} from '@buckthornpoint/types/configuration.js';
+import type {CellId} from '@buckthornpoint/types/identity.js';
+import {
+	err, ok, ResultAsync, type Result,
+} from 'neverthrow';
+import {
+	cellCodec, configurationCodec, leaseCodec, type RowDecoder,
+} from './row-codecs.js';
+
+const configurationKey = 'configuration';
+
+/** What the rows of a cell are read and written with. */
+export type CellRowsOpts = {
+	readonly cell: CellId;
+	readonly store: TableStore;
+	readonly clock: Clock;
+	readonly log: Log;
+	readonly metrics: Metrics;
+	/** How long an operation waits for its answer, in milliseconds. */
+	readonly timeoutMs: number;
+};
+
+/** The rows of one cell in the table service. Failures are logged and counted here. */
+export class CellRowStore {
+	readonly #opts: CellRowsOpts;
+	readonly #leaseKey: string;
+	readonly #cellKey: string;
+
+	constructor(opts: CellRowsOpts) {
+		this.#opts = opts;
+		this.#leaseKey = `leases/${opts.cell}`;
+		this.#cellKey = `cells/${opts.cell}`;
+	}
+
+	/** Reads both rows; undefined when the store could not be read. */
+	async readRows(): Promise<CellRows | undefined> {
+		const {store, timeoutMs} = this.#opts;
+		const rows = await this.#measure('read-cell', ResultAsync.combine([
+			store.readRow(this.#leaseKey, {timeoutMs}).andThen(row => decodeRow(row, leaseCodec)),
+			store.readRow(this.#cellKey, {timeoutMs}).andThen(row => decodeRow(row, cellCodec)),
+		]));
+		return rows.match(([lease, cell]) => ({lease, cell}), () => undefined);
+	}
+
+	/** Writes one or both rows if both have the named versions. */
+	async writeRows(write: CellWrite): Promise<WriteOutcome> {
+		const {store, timeoutMs} = this.#opts;
+		const written = await this.#measure('write-cell', store.commitTransaction({
+			writeId: write.writeId,
+			conditions: [{key: this.#leaseKey, version: write.leaseVersion}, {key: this.#cellKey, version: write.cellVersion}],
+			writes: this.#listWrites(write),
+		}, {timeoutMs}));
+		return written.match((): WriteOutcome => 'written', ({kind}) => kind);
+	}
+
+	/** Reads the configuration in force; fails when the store could not be read. */
+	async readConfiguration(): Promise<Result<Configuration | undefined, StoreFailure>> {
+		const {store, timeoutMs} = this.#opts;
+		const row = await this.#measure('read-configuration', store.readRow(configurationKey, {timeoutMs})
+			.andThen(known => decodeRow(known, configurationCodec)));
+		return row.map(({value}) => value);
+	}
+
+	#listWrites({lease, cell}: CellWrite): readonly RowWrite[] {
+		const leaseWrites = lease === undefined ? [] : [{key: this.#leaseKey, value: lease}];
+		const cellWrites = cell === undefined ? [] : [{key: this.#cellKey, value: cell}];
+		return [...leaseWrites, ...cellWrites];
+	}
+
+	async #measure<T>(operation: string, pending: ResultAsync<T, StoreFailure>): Promise<Result<T, StoreFailure>> {
+		const {clock, log, metrics} = this.#opts;
+		const startMs = clock.readMoment().monotonicMs;
+		const result = await pending;
+		metrics.recordValue('store.operation', clock.readMoment().monotonicMs - startMs, {operation});
+		if (result.isErr()) {
+			const {kind, error} = result.error;
+			metrics.addCount('store.failed', 1, {operation, reason: kind});
+			log.write({
+				event: 'store-failed', operation, kind, message: error.message,
+			});
+		}
+
+		return result;
+	}
+}
+
+function decodeRow<T>(row: Row | undefined, codec: RowDecoder<T>): Result<Versioned<T>, StoreFailure> {
+	if (row === undefined) {
+		return ok({version: 0, writeId: '', value: undefined});
+	}
+
+	const {version, writeId, value} = row;
+	return toResult(codec.decode(value))
+		.map(decoded => ({version, writeId, value: decoded}))
+		.orElse(message => err(createFailure(`the row ${row.key} is not as expected: ${message}`)));
+}
+
+function createFailure(message: string): StoreFailure {
+	return {kind: 'unavailable', error: new BuckthornpointError('ERR_DOCUMENT_TYPE', message)};
+}
--- a/node/cell/src/cell-task.ts
+++ b/node/cell/src/cell-task.ts
@@ -1,17 +1,29 @@
 import type {Clock} from '@buckthornpoint/clock/clock.js';
+import type {RandomSource} from '@buckthornpoint/clock/random.js';
+import {toBuckthornpointError} from '@buckthornpoint/errors/errors.js';
 import type {Log} from '@buckthornpoint/log/log.js';
+import {SilentMetrics, type Metrics} from '@buckthornpoint/metrics/metrics.js';
+import type {CellMachine} from '@buckthornpoint/ownership/cell-machine.js';
+import type {CellStatus} from '@buckthornpoint/ownership/cell-status.js';
+import type {CellMessage, LoadReport} from '@buckthornpoint/ownership/messages.js';
 import type {OwnershipView} from '@buckthornpoint/ownership/ownership-view.js';
-import {hashText} from '@buckthornpoint/placement/partition-hash.js';
+import {defaultTiming, type CellTiming} from '@buckthornpoint/ownership/timing.js';
 import type {TableStore} from '@buckthornpoint/table-store/table-store.js';
 import {Published} from '@buckthornpoint/tasks/published.js';
 import {emptyConfiguration, type Configuration} from '@buckthornpoint/types/configuration.js';
-import {formatPartitionId, type CellId, type NodeIdentity} from '@buckthornpoint/types/identity.js';
-import type {
-	BackendServer, CellMap, Member, RoutingTable, ServicePlacement,
-} from '@buckthornpoint/types/membership.js';
-
-const pollIntervalMs = 500;
-const leaseMs = 3000;
+import type {CellId, NodeIdentity, PartitionId} from '@buckthornpoint/types/identity.js';
+import type {BackendServer, Member, RoutingTable} from '@buckthornpoint/types/membership.js';
+import type {MessageReceiver} from './cell-calls.js';
+import {CellOperations, type CellOperation} from './cell-operations.js';
+import {CellReporter} from './cell-reporter.js';
+import {CellRowStore} from './cell-rows.js';
+import {ConnectTransport} from './connect-transport.js';
+import {MachineLoop, type LoopEffect} from './machine-loop.js';
+import type {IncomingMessage, PeerTransport} from './peer-transport.js';
+import {watchConfiguration} from './watch-configuration.js';
+
+const storeTimeoutMs = 1000;
+const callTimeoutMs = 1000;
 
 /** What the cell task works with. */
 export type CellTaskOpts = {
@@ -19,121 +31,212 @@
 	readonly member: Member;
 	readonly store: TableStore;
 	readonly clock: Clock;
+	readonly random: RandomSource;
 	readonly log: Log;
+	readonly metrics?: Metrics;
+	/** The same on all nodes of a cell. */
+	readonly timing?: CellTiming;
+	/** Takes the decisions. Created with the same member and timing. */
+	readonly machine: CellMachine;
+	/** Delivers messages; by default by calls over HTTP/2. */
+	readonly transport?: PeerTransport;
 };
 
-/** Keeps the node's place in its cell and publishes what the node may do and who owns what. */
-export class CellTask {
+/** Keeps the node's place in its cell: drives the machine of the core, and publishes what it says. */
+export class CellTask implements MessageReceiver {
+	readonly node: NodeIdentity;
 	readonly ownership: Published<OwnershipView>;
 	readonly routing = new Published<RoutingTable>({map: {version: 0, vmIds: [], placements: []}, members: []});
 	readonly configuration = new Published<Configuration>(emptyConfiguration);
 	readonly backendServer = new Published<BackendServer | undefined>(undefined);
-	readonly #opts: CellTaskOpts;
+	readonly #clock: Clock;
+	readonly #log: Log;
+	readonly #machine: CellMachine;
+	readonly #loop: MachineLoop;
+	readonly #transport: PeerTransport;
+	readonly #operations: CellOperations;
+	readonly #rows: CellRowStore;
+	readonly #reporter: CellReporter;
+	readonly #closed = new AbortController();
 	readonly #stopped = new AbortController();
 
 	constructor(opts: CellTaskOpts) {
-		this.#opts = opts;
-		this.ownership = new Published<OwnershipView>({node: identify(opts.member), leaseEnd: undefined, grants: new Map()});
+		const {cell, member, clock, log, store} = opts;
+		const {timing = defaultTiming, metrics = new SilentMetrics()} = opts;
+		this.node = {vmId: member.vmId, incarnation: member.incarnation};
+		this.ownership = new Published(createEmptyView(this.node));
+		this.#clock = clock;
+		this.#log = log;
+		this.#machine = opts.machine;
+		this.#loop = new MachineLoop({
+			machine: this.#machine,
+			clock,
+			random: opts.random,
+			apply: effect => {
+				this.#apply(effect);
+			},
+		});
+		this.#transport = opts.transport ?? new ConnectTransport({
+			clock, metrics, silenceMs: timing.heartbeatTimeoutMs, callTimeoutMs,
+		});
+		this.#rows = new CellRowStore({
+			cell, store, clock, log, metrics, timeoutMs: storeTimeoutMs,
+		});
+		this.#operations = new CellOperations({
+			node: this.node,
+			transport: this.#transport,
+			rows: this.#rows,
+			log,
+			post: input => {
+				this.#loop.post(input);
+			},
+		});
+		this.#reporter = new CellReporter(log, metrics);
 	}
 
-	/** Takes part in the cell until the task is closed. */
+	/** Takes part in the cell until the task is closed. Rejects when the machine fails; the node then owns nothing. */
 	async run(): Promise<void> {
-		while (!this.#stopped.signal.aborted) {
-			await this.#register();
-			await this.#refresh();
-			await this.#opts.clock.sleep(pollIntervalMs, this.#stopped.signal);
+		const watching = this.#watchConfiguration();
+		try {
+			await this.#loop.run();
+		} catch (error) {
+			this.#log.write({event: 'internal-error', message: toBuckthornpointError(error).message});
+			throw error;
+		} finally {
+			this.ownership.publish(createEmptyView(this.node));
+			await this.close();
+			await watching;
 		}
 	}
 
 	/** Takes note of the backend server beside the node. */
 	announce(backendServer: BackendServer): void {
-		const known = this.backendServer.read();
-		if (known?.incarnation !== backendServer.incarnation || known.origin !== backendServer.origin) {
-			this.#opts.log.write({event: 'backend-server-announced', ...backendServer});
-			this.backendServer.publish(backendServer);
+		if (isSameAnnouncement(this.backendServer.read(), backendServer)) {
+			return;
 		}
-	}
 
-	/** Leaves the cell. */
-	async close(): Promise<void> {
-		this.#stopped.abort();
+		this.#log.write({event: 'backend-server-announced', ...backendServer});
+		this.backendServer.publish(backendServer);
+		this.#loop.post({kind: 'backend-server-announced', backendServer});
 	}
 
-	async #register(): Promise<void> {
-		const key = `members/${this.#opts.cell}/${this.#opts.member.vmId}`;
-		const known = await this.#opts.store.readRow(key);
-		if (known.isErr()) {
-			this.#opts.log.write({
-				event: 'store-failed', operation: 'register', kind: known.error.kind, message: known.error.error.message,
-			});
+	/** Takes note that the backend server beside the node announces itself no more. */
+	noteSilence(): void {
+		const known = this.backendServer.read();
+		if (known === undefined) {
 			return;
 		}
 
-		const written = await this.#opts.store.commitTransaction({
-			writeId: `${this.#opts.member.incarnation}/${known.value?.version ?? 0}`,
-			conditions: [{key, version: known.value?.version ?? 0}],
-			writes: [{key, value: {...this.#opts.member, backendServer: this.backendServer.read()}}],
+		this.#log.write({event: 'backend-server-silent', name: known.name, service: known.service});
+		this.backendServer.publish(undefined);
+		this.#loop.post({kind: 'backend-server-silent'});
+	}
+
+	/** Takes note that nothing of a partition that is being released runs or waits any more. */
+	noteDrained(partition: PartitionId): void {
+		this.#loop.post({kind: 'partition-drained', partition});
+	}
+
+	/** Takes note of what the guard measured. */
+	noteLoad(load: LoadReport): void {
+		this.#loop.post({kind: 'load-measured', load});
+	}
+
+	/** Takes note of a configuration that was accepted; an older one than the node has is ignored. */
+	learnConfiguration(configuration: Configuration): void {
+		this.#loop.post({kind: 'configuration-learned', configuration});
+	}
+
+	/** Hands over all partitions. Resolves when the node holds nothing any more. */
+	async requestStop(): Promise<void> {
+		this.#loop.post({kind: 'stop-requested'});
+		const {signal} = this.#stopped;
+		await new Promise<void>(resolve => {
+			signal.addEventListener('abort', () => {
+				resolve();
+			}, {once: true});
+			if (signal.aborted) {
+				resolve();
+			}
 		});
-		if (written.isErr()) {
-			this.#opts.log.write({
-				event: 'store-failed', operation: 'register', kind: written.error.kind, message: written.error.error.message,
-			});
-		}
 	}
 
-	async #refresh(): Promise<void> {
-		const rows = await this.#opts.store.readRows(`members/${this.#opts.cell}/`);
-		const configuration = await this.#opts.store.readRow('configuration');
-		if (rows.isErr() || configuration.isErr()) {
-			return;
-		}
+	/** Returns what the node knows of itself and its cell. */
+	readStatus(): CellStatus {
+		return this.#machine.readStatus(this.#clock.readMoment());
+	}
 
-		const members = rows.value.map(row => row.value as Member); // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion
-		this.configuration.publish(configuration.value?.value as Configuration | undefined ?? emptyConfiguration); // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion
-		const map = createMap(members, this.configuration.read());
-		this.routing.publish({map, members});
-		this.ownership.publish(this.#createView(map));
+	/** Acts on a message of another node and returns what goes back to its sender at once. */
+	async handleMessage(incoming: IncomingMessage): Promise<readonly CellMessage[]> {
+		return this.#loop.handleMessage(incoming);
 	}
 
-	#createView(map: CellMap): OwnershipView {
-		const now = this.#opts.clock.readMoment();
-		const self = identify(this.#opts.member);
-		const partitions = map.placements.flatMap(placement => placement.owners.flatMap((owner, partition) =>
-			map.vmIds[owner] === self.vmId ? [{service: placement.service, partition}] : []));
-		return {
-			node: self,
-			leaseEnd: {monotonicMs: now.monotonicMs + leaseMs, wallMs: now.wallMs + leaseMs},
-			grants: new Map(partitions.map(partition => [formatPartitionId(partition), {
-				partition, fence: {epoch: 1, counter: map.version}, ownedSince: now, predecessor: undefined, releasing: false,
-			}])),
-		};
+	/** Leaves the cell without handing anything over. */
+	async close(): Promise<void> {
+		this.#closed.abort();
+		this.#stopped.abort();
+		this.#loop.close();
+		this.#operations.close();
+		await this.#transport.close();
 	}
-}
 
-function identify(member: Member): NodeIdentity {
-	return {vmId: member.vmId, incarnation: member.incarnation};
-}
+	async #watchConfiguration(): Promise<void> {
+		await watchConfiguration({
+			rows: this.#rows,
+			clock: this.#clock,
+			isController: () => this.readStatus().role === 'controller',
+			learn: configuration => {
+				this.learnConfiguration(configuration);
+			},
+		}, this.#closed.signal);
+	}
 
-function createMap(members: readonly Member[], configuration: Configuration): CellMap {
-	const vmIds = members.map(({vmId}) => vmId);
-	const placements = configuration.services.map(({name, partitionCount}): ServicePlacement => ({
-		service: name,
-		owners: Array.from({length: partitionCount}, (_, partition) => chooseOwner(members, name, partition)),
-		exceptions: [],
-	}));
-	return {version: configuration.version, vmIds, placements};
-}
+	#apply(effect: LoopEffect): void {
+		if (effect.kind === 'send' || effect.kind === 'read-store' || effect.kind === 'write-store') {
+			this.#operations.start(effect);
+		} else {
+			this.#publish(effect);
+		}
+	}
 
-function chooseOwner(members: readonly Member[], service: string, partition: number): number {
-	let best = -1;
-	let bestScore = -1;
-	for (const [index, member] of members.entries()) {
-		const score = hashText(`${member.vmId}/${service}/${partition}`);
-		if (member.backendServer?.service === service && score > bestScore) {
-			best = index;
-			bestScore = score;
+	#publish(effect: Exclude<LoopEffect, CellOperation>): void {
+		switch (effect.kind) {
+			case 'ownership-changed': {
+				this.ownership.publish(effect.view);
+				this.#reporter.reportOwnership(effect.view);
+				break;
+			}
+
+			case 'routing-changed': {
+				this.routing.publish(effect.table);
+				this.#reporter.reportRouting(effect.table);
+				break;
+			}
+
+			case 'configuration-changed': {
+				this.configuration.publish(effect.configuration);
+				this.#reporter.reportConfiguration(effect.configuration);
+				break;
+			}
+
+			case 'event': {
+				this.#reporter.reportEvent(effect.event);
+				break;
+			}
+
+			case 'stopped': {
+				this.#stopped.abort();
+				break;
+			}
 		}
 	}
+}
+
+function createEmptyView(node: NodeIdentity): OwnershipView {
+	return {node, leaseEnd: undefined, grants: new Map()};
+}
 
-	return best;
+function isSameAnnouncement(known: BackendServer | undefined, announced: BackendServer): boolean {
+	const names = ['name', 'service', 'origin', 'slots', 'checksFence', 'incarnation', 'leaving'] as const;
+	return known !== undefined && names.every(name => known[name] === announced[name]);
 }
--- a/node/daemon/src/daemon.ts
+++ b/node/daemon/src/daemon.ts
@@ -1,5 +1,5 @@
 import {randomUUID} from 'node:crypto';
-import {CellTask} from '@buckthornpoint/cell/cell-task.js';
+import {CellTask} from '@buckthornpoint/cell/naive-cell-task.js';
 import type {Clock} from '@buckthornpoint/clock/clock.js';
 import {Guard} from '@buckthornpoint/guard/guard.js';
 import type {Log} from '@buckthornpoint/log/log.js';
--- a/node/metrics/src/names.ts
+++ b/node/metrics/src/names.ts
@@ -13,6 +13,7 @@
 	'guard.shed': {kind: 'counter', unit: 'requests'},
 	'guard.connections-replaced': {kind: 'counter', unit: 'connections'},
 	'backend-server.duration': {kind: 'histogram', unit: 'ms'},
+	'cell.bytes-sent': {kind: 'counter', unit: 'bytes'},
 	'cell.lease-age': {kind: 'gauge', unit: 'ms'},
 	'cell.partitions-owned': {kind: 'gauge', unit: 'partitions'},
 	'cell.partitions-moved': {kind: 'counter', unit: 'partitions'},
