--- /dev/null
+++ b/core/ownership/test/simulated-cell.ts
@@ -0,0 +1,287 @@
+import {SeededRandom} from '@buckthornpoint/clock/seeded-random.js';
+import type {Configuration} from '@buckthornpoint/types/configuration.js';
+import type {CellEffect, CellEvent, CellInput} from '../src/machine.js';
+import type {CellWrite, WriteOutcome} from '../src/records.js';
+import {EventQueue} from './event-queue.js';
+import {InvariantChecker} from './invariants.js';
+import {SimulatedNode} from './simulated-node.js';
+import {SimulatedStore} from './simulated-store.js';
+
+/** How the simulated store behaves. Fractions are between 0 and 1. */
+export type StoreFaults = {
+	readonly isDown: boolean;
+	readonly lostAnswers: number;
+	readonly duplicates: number;
+	readonly maxDelayMs: number;
+};
+
+/** How the simulated network behaves. */
+export type NetworkFaults = {
+	readonly lost: number;
+	readonly duplicates: number;
+	readonly maxDelayMs: number;
+};
+
+const noStoreFaults: StoreFaults = {
+	isDown: false, lostAnswers: 0, duplicates: 0, maxDelayMs: 4,
+};
+const noNetworkFaults: NetworkFaults = {lost: 0, duplicates: 0, maxDelayMs: 2};
+const drainedAfterMs = 50;
+const storeTimeoutMs = 500;
+
+/** A cell in virtual time: machines, a network and a store that fail on request, and the checker of invariants. */
+export class SimulatedCell extends EventQueue {
+	readonly random: SeededRandom;
+	readonly store = new SimulatedStore();
+	readonly checker = new InvariantChecker();
+	readonly nodes = new Map<string, SimulatedNode>();
+	readonly blocked = new Set<string>();
+	readonly trace: string[] = [];
+	storeFaults = noStoreFaults;
+	networkFaults = noNetworkFaults;
+	configuration: Configuration;
+	readonly #maxDrift: number;
+	#runs = 0;
+
+	constructor(seed: number, configuration: Configuration, maxDrift = 0.01) {
+		super();
+		this.random = new SeededRandom(seed);
+		this.configuration = configuration;
+		this.#maxDrift = maxDrift;
+	}
+
+	/** Starts a node on a VM; one that runs there is ended first. */
+	startNode(vmId: string, failureDomain: string): void {
+		this.stopNode(vmId);
+		this.#runs += 1;
+		const node = new SimulatedNode({
+			vmId,
+			failureDomain,
+			incarnation: `${vmId}-${this.#runs}`,
+			startMs: this.nowMs,
+			rate: 1 + (this.#maxDrift * ((2 * this.random.drawFraction()) - 1)),
+			configuration: this.configuration,
+			random: this.random,
+		});
+		this.nodes.set(vmId, node);
+		this.checker.addRun(node);
+		this.stepNode(node, {kind: 'wake'});
+		this.addEvent(this.random.drawBelow(100), () => {
+			this.stepNode(node, {
+				kind: 'backend-server-announced',
+				backendServer: {
+					name: vmId, service: 'stock', origin: 'http://127.0.0.1:1', slots: 18, checksFence: false, incarnation: node.identity.incarnation, leaving: false,
+				},
+			});
+		});
+	}
+
+	/** Ends the process of a VM at once. */
+	stopNode(vmId: string): void {
+		const node = this.nodes.get(vmId);
+		if (node !== undefined) {
+			node.isAlive = false;
+			this.nodes.delete(vmId);
+		}
+	}
+
+	/** Pauses a process; its monotonic clock may stand still meanwhile. */
+	sleepNode(vmId: string, durationMs: number, isMonotonicStopped: boolean): void {
+		const node = this.nodes.get(vmId);
+		if (node === undefined || node.isPaused) {
+			return;
+		}
+
+		node.isPaused = true;
+		this.addEvent(durationMs, () => {
+			node.isPaused = false;
+			if (isMonotonicStopped) {
+				node.noteStoodStill(durationMs);
+			}
+
+			this.stepNode(node, {kind: 'wake'});
+			for (const input of node.backlog.splice(0)) {
+				this.stepNode(node, input);
+			}
+		});
+	}
+
+	/** Blocks messages from one end to another; `store` names the store. */
+	addBlock(from: string, to: string): void {
+		this.blocked.add(`${from}>${to}`);
+	}
+
+	/** Ends all faults of the network and the store. */
+	removeFaults(): void {
+		this.blocked.clear();
+		this.storeFaults = noStoreFaults;
+		this.networkFaults = noNetworkFaults;
+	}
+
+	/** Gives a node one input and carries out its effects. */
+	stepNode(node: SimulatedNode, input: CellInput): void {
+		if (!node.isAlive) {
+			return;
+		}
+
+		if (node.isPaused) {
+			node.backlog.push(input);
+			return;
+		}
+
+		for (const effect of node.step(input, this.nowMs)) {
+			this.#applyEffect(node, effect);
+		}
+	}
+
+	/** Adds a line to the trace. */
+	note(node: SimulatedNode | undefined, text: string): void {
+		this.trace.push(`${(this.nowMs / 1000).toFixed(2).padStart(7)} ${node?.identity.incarnation ?? '-'} ${text}`);
+	}
+
+	#applyEffect(node: SimulatedNode, effect: CellEffect): void {
+		switch (effect.kind) {
+			case 'send': {
+				this.#send(node, effect);
+				break;
+			}
+
+			case 'read-store': {
+				this.#readStore(node, effect.operationId);
+				break;
+			}
+
+			case 'write-store': {
+				this.#writeStore(node, effect.operationId, effect.write);
+				break;
+			}
+
+			case 'wake-at': {
+				this.#setWake(node, effect.monotonicMs);
+				break;
+			}
+
+			case 'ownership-changed': {
+				node.view = effect.view;
+				this.checker.checkRun(node, this.nowMs);
+				this.#drain(node);
+				break;
+			}
+
+			case 'routing-changed': {
+				node.mapVersion = effect.table.map.version;
+				break;
+			}
+
+			case 'configuration-changed': {
+				this.checker.checkConfiguration(node, effect.configuration.version);
+				node.configurationVersion = effect.configuration.version;
+				break;
+			}
+
+			case 'stopped': {
+				this.note(node, 'stopped');
+				this.stopNode(node.identity.vmId);
+				break;
+			}
+
+			case 'event': {
+				this.note(node, formatEvent(effect.event));
+				break;
+			}
+		}
+	}
+
+	#send(node: SimulatedNode, {peerOrigin, to, message}: Extract<CellEffect, {kind: 'send'}>): void {
+		const vmId = peerOrigin.slice('http://'.length);
+		const {lost, duplicates, maxDelayMs} = this.networkFaults;
+		const copies = this.random.drawFraction() < duplicates ? 2 : 1;
+		for (let copy = 0; copy < copies; copy++) {
+			const isLost = this.random.drawFraction() < lost || this.blocked.has(`${node.identity.vmId}>${vmId}`);
+			this.addEvent(1 + this.random.drawBelow(maxDelayMs), () => {
+				const target = this.nodes.get(vmId);
+				const isMeant = to === undefined || to.incarnation === target?.identity.incarnation;
+				if (!isLost && target !== undefined && isMeant) {
+					this.stepNode(target, {kind: 'message', from: node.identity, message});
+				}
+			});
+		}
+	}
+
+	#readStore(node: SimulatedNode, operationId: number): void {
+		const {isDown, lostAnswers, maxDelayMs} = this.storeFaults;
+		const delayMs = 1 + this.random.drawBelow(maxDelayMs);
+		if (isDown || this.blocked.has(`${node.identity.vmId}>store`) || this.random.drawFraction() < lostAnswers) {
+			this.addEvent(isDown ? delayMs : storeTimeoutMs, () => {
+				this.stepNode(node, {kind: 'store-read', operationId, rows: undefined});
+			});
+			return;
+		}
+
+		this.addEvent(delayMs, () => {
+			const rows = this.store.read();
+			this.addEvent(1 + this.random.drawBelow(maxDelayMs), () => {
+				this.stepNode(node, {kind: 'store-read', operationId, rows});
+			});
+		});
+	}
+
+	#writeStore(node: SimulatedNode, operationId: number, write: CellWrite): void {
+		const {isDown, lostAnswers, duplicates, maxDelayMs} = this.storeFaults;
+		const answer = (delayMs: number, outcome: WriteOutcome): void => {
+			this.addEvent(delayMs, () => {
+				this.stepNode(node, {kind: 'store-written', operationId, outcome});
+			});
+		};
+
+		if (isDown) {
+			answer(1, 'unavailable');
+			return;
+		}
+
+		const isBlocked = this.blocked.has(`${node.identity.vmId}>store`);
+		const isAnswerLost = isBlocked || this.random.drawFraction() < lostAnswers;
+		if (isAnswerLost) {
+			answer(storeTimeoutMs, 'outcome-unknown');
+		}
+
+		const copies = this.random.drawFraction() < duplicates ? 2 : 1;
+		for (let copy = 0; copy < (isBlocked ? 0 : copies); copy++) {
+			this.addEvent(1 + this.random.drawBelow(maxDelayMs), () => {
+				const outcome = this.store.write(write) ? 'written' : 'conflict';
+				this.checker.checkStored(this.store.cell.value);
+				if (!isAnswerLost && copy === 0) {
+					answer(1 + this.random.drawBelow(maxDelayMs), outcome);
+				}
+			});
+		}
+	}
+
+	#setWake(node: SimulatedNode, monotonicMs: number): void {
+		node.wakeNumber += 1;
+		const {wakeNumber} = node;
+		this.addEvent(Math.max(0.1, node.findTrueTime(monotonicMs) - this.nowMs), () => {
+			if (node.wakeNumber === wakeNumber) {
+				this.stepNode(node, {kind: 'wake'});
+			}
+		});
+	}
+
+	#drain(node: SimulatedNode): void {
+		for (const {partition, releasing, fence} of node.view.grants.values()) {
+			if (releasing) {
+				this.addEvent(drainedAfterMs, () => {
+					const held = node.view.grants.get(`${partition.service}/${partition.partition}`);
+					if (held?.releasing && held.fence.counter === fence.counter) {
+						this.stepNode(node, {kind: 'partition-drained', partition});
+					}
+				});
+			}
+		}
+	}
+}
+
+function formatEvent(event: CellEvent): string {
+	const {name, ...rest} = event;
+	return `${name} ${Object.values(rest).join(' ')}`.trimEnd();
+}
--- /dev/null
+++ b/core/ownership/test/simulated-store.ts
@@ -0,0 +1,31 @@
+import type {
+	CellRecord, CellRows, CellWrite, LeaseRecord, Versioned,
+} from '../src/records.js';
+
+/** Both rows of a cell in memory, written by compare-and-set. */
+export class SimulatedStore {
+	lease: Versioned<LeaseRecord> = {version: 0, writeId: '', value: undefined};
+	cell: Versioned<CellRecord> = {version: 0, writeId: '', value: undefined};
+
+	/** Applies a write if the versions hold; tells whether they did. */
+	write(write: CellWrite): boolean {
+		if (write.leaseVersion !== this.lease.version || write.cellVersion !== this.cell.version) {
+			return false;
+		}
+
+		if (write.lease !== undefined) {
+			this.lease = {version: this.lease.version + 1, writeId: write.writeId, value: write.lease};
+		}
+
+		if (write.cell !== undefined) {
+			this.cell = {version: this.cell.version + 1, writeId: write.writeId, value: write.cell};
+		}
+
+		return true;
+	}
+
+	/** Returns both rows. */
+	read(): CellRows {
+		return {lease: this.lease, cell: this.cell};
+	}
+}
