feat: let the stand-ins fail in the ways that the platform and backend servers do

Cause: the policies can only be shown against servers that start cold, shed, lag, freeze and lose answers.

--- a/stand-ins/table-service/src/table-service.ts
+++ b/stand-ins/table-service/src/table-service.ts
@@ -1,16 +1,22 @@
 import {Buffer} from 'node:buffer';
+import type {ServerResponse} from 'node:http';
 import type {AddressInfo} from 'node:net';
 import {serve, type ServerType} from '@hono/node-server';
+import {RESPONSE_ALREADY_SENT} from '@hono/node-server/utils/response';
 import type {Clock} from '@buckthornpoint/clock/clock.js';
 import type {Transaction} from '@buckthornpoint/table-store/table-store.js';
 import {Hono} from 'hono';
-import {noFaults, type StoreFaults} from './faults.js';
+import {decodeFaults, noFaults, type StoreFaults} from './faults.js';
 import {RowTable} from './row-table.js';
 
+const statusInvalid = 400;
 const statusConflict = 409;
 const statusUnavailable = 503;
 const msPerSecond = 1000;
 
+type Bindings = {readonly outgoing: ServerResponse};
+type StoreApp = Hono<{Bindings: Bindings}>;
+
 /** How often the stand-in was used. */
 export type StoreUse = {
 	readonly reads: number;
@@ -69,15 +75,23 @@
 		});
 	}
 
-	#createApp(): Hono {
-		const app = new Hono();
+	#createApp(): StoreApp {
+		const app: StoreApp = new Hono();
 		app.put('/v1/faults', async context => {
-			this.setFaults(await context.req.json<Partial<StoreFaults>>());
+			const decoded = decodeFaults(await context.req.json<unknown>());
+			if (decoded.isLeft()) {
+				return context.json({code: 'ERR_DOCUMENT_TYPE', message: decoded.extract()}, statusInvalid);
+			}
+
+			this.setFaults(decoded.unsafeCoerce());
 			return context.json(this.#faults);
 		});
 		app.get('/v1/use', context => context.json(this.#use));
 		app.use('/v1/*', async (context, next) => {
-			await this.#clock.sleep(this.#faults.delayMs);
+			if (this.#faults.delayMs > 0) {
+				await this.#clock.sleep(this.#faults.delayMs);
+			}
+
 			const admitted = this.#admit(context.req.method === 'GET');
 			if (!admitted) {
 				return context.json({error: 'unavailable'}, statusUnavailable);
@@ -91,7 +105,7 @@
 		return app;
 	}
 
-	#addRows(app: Hono): void {
+	#addRows(app: StoreApp): void {
 		app.get('/v1/rows', context => context.json({rows: this.#table.readRows(context.req.query('prefix') ?? '')}));
 		app.get('/v1/rows/:key', context => {
 			const row = this.#table.readRow(context.req.param('key'));
@@ -100,9 +114,15 @@
 		app.post('/v1/transactions', async context => {
 			const committed = this.#table.commitTransaction(await context.req.json<Transaction>());
 			if (this.#faults.loseAnswers > 0) {
-				this.#faults = {...this.#faults, loseAnswers: this.#faults.loseAnswers - 1};
+				this.setFaults({loseAnswers: this.#faults.loseAnswers - 1});
+				context.env.outgoing.destroy();
+				return RESPONSE_ALREADY_SENT;
+			}
+
+			if (this.#faults.silenceAnswers > 0) {
+				this.setFaults({silenceAnswers: this.#faults.silenceAnswers - 1});
 				await new Promise(() => {
-					// The answer is lost: it never comes.
+					// The answer never comes.
 				});
 			}
 
@@ -110,7 +130,7 @@
 		});
 	}
 
-	#addObjects(app: Hono): void {
+	#addObjects(app: StoreApp): void {
 		app.put('/v1/objects/:name', async context => {
 			this.#objects.set(context.req.param('name'), new Uint8Array(await context.req.arrayBuffer()));
 			return context.json({});
