--- /dev/null
+++ b/core/documents/src/documents.ts
@@ -0,0 +1,104 @@
+import {Buffer} from 'node:buffer';
+import type {Finding, Place} from '@buckthornpoint/errors/findings.js';
+import {
+	createScanner, findNodeAtLocation, parseTree, printParseErrorCode, SyntaxKind, type Node, type ParseError,
+} from 'jsonc-parser';
+import {err, ok, type Result} from 'neverthrow';
+
+/** The largest document that is read, in bytes of UTF-8. */
+export const maxDocumentBytes = 1_048_576;
+/** How deep objects and lists may be nested. */
+export const maxNesting = 32;
+
+/** A parsed document that remembers where each value stands. */
+export type SourceDocument = {
+	readonly file: string;
+	/** Offset of the first character of each line. */
+	readonly lineStarts: readonly number[];
+	readonly root: Node;
+};
+
+/** Names and indexes that lead from the root of a document to a value. */
+export type DocumentPath = ReadonlyArray<string | number>;
+
+/** Parses JSON with comments and trailing commas. All syntax errors are returned together. */
+export function parseDocument(text: string, file: string): Result<SourceDocument, readonly Finding[]> {
+	const lineStarts = listLineStarts(text);
+	const outerFinding = checkSize(text, file) ?? checkNesting(text, file, lineStarts);
+	if (outerFinding !== undefined) {
+		return err([outerFinding]);
+	}
+
+	const errors: ParseError[] = [];
+	const root = parseTree(text, errors, {allowTrailingComma: true});
+	if (root === undefined || errors.length > 0) {
+		return err(convertErrors(errors, file, lineStarts));
+	}
+
+	return ok({file, lineStarts, root});
+}
+
+/** Returns the place of the value at the path, or of its nearest parent that exists. */
+export function findPlace(document: SourceDocument, path: DocumentPath): Place {
+	for (let {length} = path; length > 0; length--) {
+		const node = findNodeAtLocation(document.root, path.slice(0, length));
+		if (node !== undefined) {
+			return getPlace(document, node.offset);
+		}
+	}
+
+	return getPlace(document, document.root.offset);
+}
+
+/** Returns the place of an offset. Lines and columns count from 1. */
+export function getPlace(document: Pick<SourceDocument, 'file' | 'lineStarts'>, offset: number): Place {
+	const {file, lineStarts} = document;
+	const next = lineStarts.findIndex(start => start > offset);
+	const line = next === -1 ? lineStarts.length : next;
+	return {file, line, column: offset - (lineStarts[line - 1] ?? 0) + 1};
+}
+
+function listLineStarts(text: string): readonly number[] {
+	return [0, ...[...text.matchAll(/\r\n|[\r\n]/gv)].map(({index, 0: ending}) => index + ending.length)];
+}
+
+function checkSize(text: string, file: string): Finding | undefined {
+	const sizeBytes = Buffer.byteLength(text);
+	return sizeBytes <= maxDocumentBytes
+		? undefined
+		: {code: 'ERR_DOCUMENT_TOO_LARGE', message: `the document has ${sizeBytes} bytes; at most ${maxDocumentBytes} are read`, place: {file, line: 1, column: 1}};
+}
+
+function checkNesting(text: string, file: string, lineStarts: readonly number[]): Finding | undefined {
+	const scanner = createScanner(text, true);
+	let depth = 0;
+	for (let token = scanner.scan(); token !== SyntaxKind.EOF; token = scanner.scan()) {
+		if (token === SyntaxKind.OpenBraceToken || token === SyntaxKind.OpenBracketToken) {
+			depth++;
+		} else if (token === SyntaxKind.CloseBraceToken || token === SyntaxKind.CloseBracketToken) {
+			depth--;
+		}
+
+		if (depth > maxNesting) {
+			return {code: 'ERR_DOCUMENT_TOO_LARGE', message: `objects and lists are nested deeper than ${maxNesting}`, place: getPlace({file, lineStarts}, scanner.getTokenOffset())};
+		}
+	}
+
+	return undefined;
+}
+
+function convertErrors(errors: readonly ParseError[], file: string, lineStarts: readonly number[]): readonly Finding[] {
+	if (errors.length === 0) {
+		return [{code: 'ERR_DOCUMENT_SYNTAX', message: 'the document is empty', place: {file, line: 1, column: 1}}];
+	}
+
+	return errors.map(({error, offset}) => ({
+		code: 'ERR_DOCUMENT_SYNTAX',
+		message: formatErrorCode(printParseErrorCode(error)),
+		place: getPlace({file, lineStarts}, offset),
+	}));
+}
+
+function formatErrorCode(code: string): string {
+	return code.replaceAll(/\B([A-Z])/gv, ' $1').toLowerCase();
+}
