--- a/core/clock/src/clock.ts
+++ b/core/clock/src/clock.ts
@@ -19,11 +19,16 @@
 				return;
 			}
 
-			const timer = this.startTimer(delayMs, resolve);
-			signal?.addEventListener('abort', () => {
+			const onAbort = (): void => {
 				timer.close();
 				resolve();
-			}, {once: true});
+			};
+
+			const timer = this.startTimer(delayMs, () => {
+				signal?.removeEventListener('abort', onAbort);
+				resolve();
+			});
+			signal?.addEventListener('abort', onAbort, {once: true});
 		});
 	}
 
--- /dev/null
+++ b/tools/load/src/call.ts
@@ -0,0 +1,125 @@
+import type {Clock} from '@buckthornpoint/clock/clock.js';
+import {Pool, type Dispatcher} from 'undici';
+
+const statusOk = 200;
+const graceMs = 2000;
+
+/** One request of a load. */
+export type Call = {
+	readonly requestId: string;
+	readonly service: string;
+	readonly key: string;
+	readonly path: string;
+	/** Differs in each call, so that an answer to another call shows. */
+	readonly body: string;
+	readonly idempotent: boolean;
+	readonly deadlineMs: number;
+};
+
+/** What became of a call. */
+export type CallResult = {
+	readonly call: Call;
+	readonly kind: 'answer' | 'not-run' | 'outcome-unknown';
+	/** Why there is no answer; empty when there is one. */
+	readonly reason: string;
+	/** Whether an answer is byte for byte the one to this call; true where there is none. */
+	readonly isOwn: boolean;
+	readonly latencyMs: number;
+	/** How often the call was sent on the way that is measured. */
+	readonly attempts: number;
+};
+
+/** A way for calls to reach backend servers. */
+export abstract class CallPath {
+	/** Sends one call and returns what became of it. Never throws. */
+	abstract send(call: Call): Promise<CallResult>;
+
+	/** Closes all connections. */
+	abstract close(): Promise<void>;
+}
+
+/** Options of the way over nodes. */
+export type NodePathOpts = {
+	/** Origins of the nodes; calls take them in turn. */
+	readonly origins: readonly string[];
+	/** Connections to each of them. */
+	readonly connections: number;
+};
+
+/** Sends calls by plain HTTP to any node in turn, as a caller without a library does. */
+export class NodePath extends CallPath {
+	readonly #clock: Clock;
+	readonly #pools: readonly Pool[];
+	#next = 0;
+
+	constructor(clock: Clock, opts: NodePathOpts) {
+		super();
+		this.#clock = clock;
+		this.#pools = opts.origins.map(origin => new Pool(origin, {connections: opts.connections, pipelining: 1}));
+	}
+
+	override async send(call: Call): Promise<CallResult> {
+		const pool = this.#pools[this.#next % this.#pools.length];
+		this.#next++;
+		return exchange(this.#clock, pool, call);
+	}
+
+	override async close(): Promise<void> {
+		await Promise.all(this.#pools.map(async pool => pool.destroy()));
+	}
+}
+
+/** Sends a call over one connection of the pool. */
+export async function exchange(clock: Clock, pool: Pool | undefined, call: Call): Promise<CallResult> {
+	const startedMs = clock.readMoment().monotonicMs;
+	const finish = (result: Omit<CallResult, 'call' | 'latencyMs' | 'attempts'>): CallResult => ({
+		...result, call, attempts: 1, latencyMs: clock.readMoment().monotonicMs - startedMs,
+	});
+	try {
+		if (pool === undefined) {
+			return finish({kind: 'not-run', reason: 'no-origin', isOwn: true});
+		}
+
+		const response = await pool.request({
+			method: 'POST', path: call.path, body: call.body, headers: createHeaders(call), signal: AbortSignal.timeout(call.deadlineMs + graceMs),
+		});
+		const text = await response.body.text();
+		return finish(judgeResponse(call, response, text));
+	} catch (error) {
+		return finish({kind: 'outcome-unknown', reason: error instanceof Error ? error.name : 'error', isOwn: true});
+	}
+}
+
+function createHeaders(call: Call): Record<string, string> {
+	return {
+		'content-type': 'text/plain',
+		'buckthornpoint-service': call.service,
+		'buckthornpoint-key': call.key,
+		'buckthornpoint-request-id': call.requestId,
+		'buckthornpoint-deadline-ms': String(call.deadlineMs),
+	};
+}
+
+function judgeResponse(call: Call, response: Dispatcher.ResponseData, text: string): Omit<CallResult, 'call' | 'latencyMs' | 'attempts'> {
+	const echoed = response.headers['buckthornpoint-request-id'];
+	if (response.statusCode === statusOk) {
+		return {kind: 'answer', reason: '', isOwn: echoed === call.requestId && isOwnAnswer(call, text)};
+	}
+
+	const refused = response.headers['buckthornpoint-refused'];
+	if (refused !== undefined) {
+		return {kind: 'not-run', reason: String(refused), isOwn: true};
+	}
+
+	const outcome = response.headers['buckthornpoint-outcome'];
+	return {kind: outcome === 'not-run' ? 'not-run' : 'outcome-unknown', reason: readReason(text), isOwn: echoed === call.requestId};
+}
+
+function isOwnAnswer(call: Call, text: string): boolean {
+	const server = /^\{"server":"(?<server>[^"]*)"/v.exec(text)?.[1] ?? '';
+	return text === JSON.stringify({server, path: call.path, body: call.body});
+}
+
+function readReason(text: string): string {
+	return /"reason":"(?<reason>[^"]*)"/v.exec(text)?.[1] ?? /"error":"(?<error>[^"]*)"/v.exec(text)?.[1] ?? 'unnamed';
+}
--- /dev/null
+++ b/tools/load/src/demo.ts
@@ -0,0 +1,127 @@
+import process from 'node:process';
+import type {Clock} from '@buckthornpoint/clock/clock.js';
+import {SeededRandom} from '@buckthornpoint/clock/seeded-random.js';
+import Table from 'cli-table3';
+import {NodePath, type CallResult} from './call.js';
+import {createCall} from './calls.js';
+import {startDeployment, type Deployment} from './deployment.js';
+import {kartonpont, medoplech} from './deployments.js';
+import {sendOpenLoad} from './open-load.js';
+import {Tally} from './tally.js';
+import {isClean, judgeResults, measureImbalance} from './verdict.js';
+import {sendWaves} from './waves.js';
+
+const connectionsPerNode = 8;
+const warmUpMs = 3000;
+
+/** How much the demo does. */
+export type DemoOpts = {
+	/** Calls a second to each deployment. */
+	readonly ratePerSecond: number;
+	readonly durationMs: number;
+	/** Calls to each deployment in the part with faults. */
+	readonly waveCalls: number;
+	readonly waveSize: number;
+	readonly seed: number;
+};
+
+/** Runs both deployments at today's sizes under load, first calm, then with faults, and prints what came of it. */
+export async function runDemo(clock: Clock, opts: DemoOpts): Promise<boolean> {
+	report('starting both deployments on loopback');
+	const deployments = await Promise.all([medoplech, kartonpont].map(async plan => startDeployment(plan, clock, {serviceTimeMs: 5, slots: 18})));
+	try {
+		report(`warm-up: ${warmUpMs} ms of the same load, not counted`);
+		await Promise.all(deployments.map(async deployment => startWarm(deployment, clock, opts)));
+		report(`calm load: ${opts.ratePerSecond} calls a second to each deployment for ${opts.durationMs} ms`);
+		const calm = await Promise.all(deployments.map(async (deployment, index) => runCalm(deployment, clock, {...opts, seed: opts.seed + index})));
+		report(`faults: ${opts.waveCalls} calls to each in waves of ${opts.waveSize}; answers delayed, reordered, crossed, lost and cut`);
+		const faulty = await Promise.all(deployments.map(async (deployment, index) => runFaulty(deployment, clock, {...opts, seed: opts.seed + index})));
+		return [...calm, ...faulty].every(Boolean);
+	} finally {
+		await Promise.all(deployments.map(async deployment => deployment.close()));
+		report('stopped');
+	}
+}
+
+async function startWarm(deployment: Deployment, clock: Clock, opts: DemoOpts): Promise<void> {
+	const random = new SeededRandom(opts.seed);
+	const path = createPath(deployment, clock);
+	await sendOpenLoad(path, {
+		...opts,
+		durationMs: warmUpMs,
+		createCall: () => createCall(deployment.plan, random),
+		onResult() {
+			// Not counted.
+		},
+	}, clock, random);
+	await path.close();
+}
+
+async function runCalm(deployment: Deployment, clock: Clock, opts: DemoOpts): Promise<boolean> {
+	const random = new SeededRandom(opts.seed);
+	const path = createPath(deployment, clock);
+	const before = deployment.vms.map(({backendServer}) => backendServer.counts.started);
+	const results: CallResult[] = [];
+	const tallies = new Map(deployment.plan.services.map(({name}) => [name, new Tally()]));
+	await sendOpenLoad(path, {
+		...opts,
+		createCall: () => createCall(deployment.plan, random),
+		onResult(result, delayMs) {
+			results.push(result);
+			tallies.get(result.call.service)?.record(result, delayMs);
+		},
+	}, clock, random);
+	await path.close();
+	const rows = [...tallies].map(([service, tally]) => createRow(service, tally, listStarted(deployment, service, before)));
+	printRows(`${deployment.plan.tenant}, calm`, rows);
+	return printVerdict(results, deployment) && results.every(({kind}) => kind === 'answer');
+}
+
+async function runFaulty(deployment: Deployment, clock: Clock, opts: DemoOpts): Promise<boolean> {
+	const path = createPath(deployment, clock);
+	const results = await sendWaves(deployment, path, opts);
+	await path.close();
+	const tally = new Tally();
+	for (const result of results) {
+		tally.record(result);
+	}
+
+	printRows(`${deployment.plan.tenant}, with faults`, [createRow('all', tally, [])]);
+	return printVerdict(results, deployment);
+}
+
+function createPath(deployment: Deployment, clock: Clock): NodePath {
+	return new NodePath(clock, {origins: deployment.vms.map(({daemon}) => daemon.callerOrigin), connections: connectionsPerNode});
+}
+
+function listStarted(deployment: Deployment, service: string, before: readonly number[]): readonly number[] {
+	return deployment.vms.flatMap((vm, index) => vm.service === service ? [vm.backendServer.counts.started - (before[index] ?? 0)] : []);
+}
+
+function createRow(service: string, tally: Tally, started: readonly number[]): readonly string[] {
+	const {p50, p99, p999} = tally.measurePercentiles();
+	const failures = [...tally.failures].map(([name, count]) => `${name}: ${count}`).join('\n');
+	const counts = [String(tally.calls), String(tally.answers)];
+	const latencies = [p50, p99, p999].map(milliseconds => milliseconds.toFixed(1));
+	const imbalance = started.length === 0 ? '-' : measureImbalance(started).toFixed(2);
+	return [service, ...counts, ...latencies, imbalance, failures === '' ? 'none' : failures];
+}
+
+function printRows(title: string, rows: ReadonlyArray<readonly string[]>): void {
+	const table = new Table({head: [title, 'calls', 'answers', 'p50 ms', 'p99 ms', 'p99.9 ms', 'imbalance', 'failures'], style: {head: [], border: []}});
+	for (const row of rows) {
+		table.push([...row]);
+	}
+
+	report(table.toString());
+}
+
+function printVerdict(results: readonly CallResult[], deployment: Deployment): boolean {
+	const verdict = judgeResults(results, deployment);
+	report(`mismatches ${verdict.mismatches}, doubled runs ${verdict.doubledRuns}, reported not run although they ran ${verdict.falseNotRuns}`);
+	return isClean(verdict);
+}
+
+function report(text: string): void {
+	process.stdout.write(`${text}\n`);
+}
--- /dev/null
+++ b/tools/load/src/main.ts
@@ -0,0 +1,27 @@
+#!/usr/bin/env node
+import process from 'node:process';
+import {SystemClock} from '@buckthornpoint/clock/system-clock.js';
+import yargs from 'yargs';
+import {runDemo} from './demo.js';
+
+const firstArgument = 2;
+const clock = new SystemClock();
+
+await yargs(process.argv.slice(firstArgument))
+	.scriptName('buckthornpoint-load')
+	.command('demo', 'Runs both deployments on loopback under load, calm and with faults', {
+		rate: {type: 'number', default: 100, describe: 'Calls a second to each deployment'},
+		duration: {type: 'number', default: 10_000, describe: 'Duration of the calm load, in milliseconds'},
+		calls: {type: 'number', default: 5000, describe: 'Calls to each deployment in the part with faults'},
+		seed: {type: 'number', default: 1, describe: 'Seed of the drawn calls'},
+	}, async values => {
+		const isWell = await runDemo(clock, {
+			ratePerSecond: Number(values.rate), durationMs: Number(values.duration), waveCalls: Number(values.calls), waveSize: 100, seed: Number(values.seed),
+		});
+		process.exitCode = isWell ? 0 : 1;
+	})
+	.demandCommand(1, 'Name a command.')
+	.strict()
+	.help()
+	.version('0.1.0')
+	.parseAsync();
