--- /dev/null
+++ b/core/configuration/src/bearers.ts
@@ -0,0 +1,45 @@
+import type {Finding} from '@buckthornpoint/errors/findings.js';
+import type {Configuration} from '@buckthornpoint/types/configuration.js';
+import type {FailureDomainName, VmId} from '@buckthornpoint/types/identity.js';
+import type {BackendServer, MemberPhase} from '@buckthornpoint/types/membership.js';
+
+/** How long a member may be silent and still count as a bearer, in milliseconds. */
+export const maxSilenceOfBearerMs = 3000;
+
+/** What a decision on the configuration looks at of a member. */
+export type ConfigurationMember = {
+	readonly vmId: VmId;
+	readonly failureDomain: FailureDomainName;
+	readonly phase: MemberPhase;
+	readonly backendServer?: BackendServer;
+	/** Time since its last heartbeat, in milliseconds; undefined where it is not known. */
+	readonly silentForMs?: number;
+};
+
+/** Finds services that have bearers under `before` and would have none under `after`. */
+export function checkBearers(before: Configuration, after: Configuration, members: readonly ConfigurationMember[]): readonly Finding[] {
+	return after.services.flatMap(({name}) => {
+		const count = countBearers(before, name, members);
+		return count > 0 && countBearers(after, name, members) === 0
+			? [{
+				code: 'ERR_WOULD_LEAVE_NO_BEARER' as const,
+				message: `the service "${name}" would be left without a backend server (it has ${count} now)`,
+				hint: 'bring another failure domain or VM back first, or use --force',
+			}]
+			: [];
+	});
+}
+
+/** Counts the members that may bear work of a service. */
+export function countBearers(configuration: Configuration, service: string, members: readonly ConfigurationMember[]): number {
+	return members.filter(member => isBearer(configuration, service, member)).length;
+}
+
+function isBearer(configuration: Configuration, service: string, member: ConfigurationMember): boolean {
+	const {backendServer, silentForMs} = member;
+	const isOut = configuration.failureDomains.some(({name, out}) => name === member.failureDomain && out);
+	const isTaken = configuration.stoppingVms.includes(member.vmId) || configuration.deadVms.includes(member.vmId);
+	const isHeard = silentForMs === undefined || silentForMs <= maxSilenceOfBearerMs;
+	const serves = backendServer?.service === service && !backendServer.leaving;
+	return serves && !isOut && !isTaken && isHeard && member.phase !== 'leaving';
+}
--- /dev/null
+++ b/core/configuration/src/check-note.ts
@@ -0,0 +1,100 @@
+import {findPlace, type DocumentPath} from '@buckthornpoint/documents/documents.js';
+import {findSuggestion} from '@buckthornpoint/documents/objects.js';
+import type {Finding} from '@buckthornpoint/errors/findings.js';
+import type {Configuration} from '@buckthornpoint/types/configuration.js';
+import {checkRules} from './check-rules.js';
+import type {ParsedNote, ReleaseNote} from './release-note.js';
+
+/** A finding that knows where in the note it belongs, before the place is worked out. */
+export type PathFinding = Omit<Finding, 'place'> & {readonly path: DocumentPath};
+
+/** Finds all that speaks against a note whose form is right. */
+export function checkNote(configuration: Configuration, parsed: ParsedNote): readonly Finding[] {
+	const {note, document} = parsed;
+	const findings = [
+		...checkBaseVersion(configuration, note),
+		...checkContent(note),
+		...checkNames(configuration.services, note, 'services'),
+		...checkNames(configuration.failureDomains, note, 'failureDomains'),
+		...checkFixedValues(configuration, note),
+		...checkRulesOfNote(note),
+	];
+	return findings.map(({path, ...finding}) => ({...finding, place: findPlace(document, path)}));
+}
+
+function checkBaseVersion(configuration: Configuration, note: ReleaseNote): readonly PathFinding[] {
+	return note.baseVersion === configuration.version
+		? []
+		: [{
+			code: 'ERR_CONFIGURATION_CONFLICT',
+			message: `the note was written against version ${note.baseVersion}, but version ${configuration.version} is in force`,
+			hint: 'look at the history, then write the note against the version in force',
+			path: ['baseVersion'],
+		}];
+}
+
+function checkContent(note: ReleaseNote): readonly PathFinding[] {
+	const sections = [note.added, note.changed, note.withdrawn];
+	const isEmpty = sections.every(({services, failureDomains}) => services.length === 0 && failureDomains.length === 0);
+	return isEmpty ? [{code: 'ERR_CONFIGURATION_INVALID', message: 'the note adds, changes and withdraws nothing', path: []}] : [];
+}
+
+type NamedSection = 'services' | 'failureDomains';
+type SectionName = {readonly name: string; readonly path: DocumentPath};
+
+const words: Readonly<Record<NamedSection, string>> = {services: 'service', failureDomains: 'failure domain'};
+
+function checkNames(known: ReadonlyArray<{readonly name: string}>, note: ReleaseNote, section: NamedSection): readonly PathFinding[] {
+	const knownNames = known.map(({name}) => name);
+	const added = note.added[section].map(({name}, index) => ({name, path: ['added', section, index, 'name']}));
+	const changed = note.changed[section].map(({name}, index) => ({name, path: ['changed', section, index, 'name']}));
+	const withdrawn = note.withdrawn[section].map((name, index) => ({name, path: ['withdrawn', section, index]}));
+	return [
+		...checkRepeated([...added, ...changed, ...withdrawn], words[section]),
+		...added.filter(({name}) => knownNames.includes(name)).map(({name, path}): PathFinding => ({
+			code: 'ERR_CONFIGURATION_INVALID', message: `the ${words[section]} "${name}" exists already`, hint: 'list it under "changed"', path,
+		})),
+		...[...changed, ...withdrawn].filter(({name}) => !knownNames.includes(name)).map(({name, path}): PathFinding => ({
+			code: 'ERR_NOT_FOUND', message: `there is no ${words[section]} "${name}"`, hint: findSuggestion(name, knownNames), path,
+		})),
+	];
+}
+
+function checkRepeated(names: readonly SectionName[], word: string): readonly PathFinding[] {
+	const seen = new Map<string, DocumentPath>();
+	return names.flatMap(({name, path}) => {
+		const first = seen.get(name);
+		if (first === undefined) {
+			seen.set(name, path);
+			return [];
+		}
+
+		return [{
+			code: 'ERR_CONFIGURATION_INVALID' as const,
+			message: `the ${word} "${name}" stands under "${first[0] ?? ''}" already`,
+			hint: 'a note names each thing once',
+			path,
+		}];
+	});
+}
+
+function checkFixedValues(configuration: Configuration, note: ReleaseNote): readonly PathFinding[] {
+	return note.changed.services.flatMap((change, index) => {
+		const service = configuration.services.find(({name}) => name === change.name);
+		return (['partitionCount', 'divided'] as const).flatMap((field): readonly PathFinding[] =>
+			service === undefined || change[field] === undefined || change[field] === service[field]
+				? []
+				: [{
+					code: 'ERR_CONFIGURATION_INVALID',
+					message: `"${field}" of the service "${service.name}" is ${service[field]} and cannot change`,
+					hint: 'it is fixed when the service is created, because it decides who owns each key',
+					path: ['changed', 'services', index, field],
+				}]);
+	});
+}
+
+function checkRulesOfNote(note: ReleaseNote): readonly PathFinding[] {
+	return (['added', 'changed'] as const).flatMap(section =>
+		note[section].services.flatMap((service, index) =>
+			checkRules(service.rules ?? []).map(({rule, ...finding}) => ({...finding, path: [section, 'services', index, 'rules', rule]}))));
+}
--- /dev/null
+++ b/core/configuration/src/release-note.ts
@@ -0,0 +1,81 @@
+import {
+	decodeDocument, expectBoolean, expectList, expectNumber, expectText, type Decoder,
+} from '@buckthornpoint/documents/decoders.js';
+import {parseDocument, type SourceDocument} from '@buckthornpoint/documents/documents.js';
+import {expectField, expectObject, expectOptional} from '@buckthornpoint/documents/objects.js';
+import type {Finding} from '@buckthornpoint/errors/findings.js';
+import type {FailureDomainConfiguration, ServiceConfiguration} from '@buckthornpoint/types/configuration.js';
+import type {FailureDomainName, ServiceName} from '@buckthornpoint/types/identity.js';
+import type {Result} from 'neverthrow';
+import {
+	nameDecoder, serviceChangeDecoder, serviceDecoder, type ServiceChange,
+} from './service-decoders.js';
+
+const maxServices = 500;
+const maxFailureDomains = 100;
+const maxSummaryLength = 200;
+
+/** A change of a failure domain. */
+export type FailureDomainChange = {
+	readonly name: FailureDomainName;
+	readonly out: boolean;
+};
+
+/** What an operator wants added, changed and withdrawn, against the version that the note was written for. */
+export type ReleaseNote = {
+	readonly baseVersion: number;
+	/** One line for the history. */
+	readonly summary: string;
+	readonly added: {
+		readonly services: readonly ServiceConfiguration[];
+		readonly failureDomains: readonly FailureDomainConfiguration[];
+	};
+	/** Names that a change leaves out stay as they are; a list of rules replaces the earlier list. */
+	readonly changed: {
+		readonly services: readonly ServiceChange[];
+		readonly failureDomains: readonly FailureDomainChange[];
+	};
+	readonly withdrawn: {
+		readonly services: readonly ServiceName[];
+		readonly failureDomains: readonly FailureDomainName[];
+	};
+};
+
+/** A release note with the document that it was read from, for the places of findings. */
+export type ParsedNote = {
+	readonly note: ReleaseNote;
+	readonly document: SourceDocument;
+};
+
+/** Reads a release note from JSON with comments. All findings of its form are returned together. */
+export function parseReleaseNote(text: string, file: string): Result<ParsedNote, readonly Finding[]> {
+	return parseDocument(text, file).andThen(document =>
+		decodeDocument(document, noteDecoder).map(note => ({note, document})));
+}
+
+const failureDomainDecoder: Decoder<FailureDomainConfiguration> = expectObject<FailureDomainConfiguration>({
+	name: expectField(nameDecoder),
+	out: expectOptional(expectBoolean(), false),
+});
+
+const failureDomainChangeDecoder: Decoder<FailureDomainChange> = expectObject<FailureDomainChange>({
+	name: expectField(nameDecoder),
+	out: expectField(expectBoolean()),
+});
+
+const noteDecoder: Decoder<ReleaseNote> = expectObject<ReleaseNote>({
+	baseVersion: expectField(expectNumber({min: 0, max: Number.MAX_SAFE_INTEGER - 1})),
+	summary: expectField(expectText({maxLength: maxSummaryLength, pattern: /^[^\p{Cc}]+$/v, description: 'one line of text'})),
+	added: expectOptional(expectObject<ReleaseNote['added']>({
+		services: expectOptional(expectList(serviceDecoder, maxServices), []),
+		failureDomains: expectOptional(expectList(failureDomainDecoder, maxFailureDomains), []),
+	}), {services: [], failureDomains: []}),
+	changed: expectOptional(expectObject<ReleaseNote['changed']>({
+		services: expectOptional(expectList(serviceChangeDecoder, maxServices), []),
+		failureDomains: expectOptional(expectList(failureDomainChangeDecoder, maxFailureDomains), []),
+	}), {services: [], failureDomains: []}),
+	withdrawn: expectOptional(expectObject<ReleaseNote['withdrawn']>({
+		services: expectOptional(expectList(nameDecoder, maxServices), []),
+		failureDomains: expectOptional(expectList(nameDecoder, maxFailureDomains), []),
+	}), {services: [], failureDomains: []}),
+});
