--- a/core/documents/src/documents.ts
+++ b/core/documents/src/documents.ts
@@ -6,7 +6,7 @@
 import {err, ok, type Result} from 'neverthrow';
 
 /** The largest document that is read, in bytes of UTF-8. */
-export const maxDocumentBytes = 1_048_576;
+export const maxDocumentBytes = 262_144;
 /** How deep objects and lists may be nested. */
 export const maxNesting = 32;
 
