--- a/node/daemon/src/daemon.ts
+++ b/node/daemon/src/daemon.ts
@@ -12,6 +12,7 @@
 import type {Member} from '@buckthornpoint/types/membership.js';
 import {Hono} from 'hono';
 import {createAnnouncementApi} from './announcement-api.js';
+import {createRoutingApi} from './routing-api.js';
 import {listenForHttp, listenForPeers} from './servers.js';
 
 /** What a daemon is given besides its settings. */
@@ -48,6 +49,7 @@
 	app.route('/', createAnnouncementApi(backendServer => {
 		cell.announce(backendServer);
 	}));
+	app.route('/', createRoutingApi(cell.routing, cell.configuration));
 	app.route('/', createCallerApi(router));
 	const running = cell.run();
 	opts.log.write({event: 'node-started', ...member});
