--- a/node/operator-api/src/change-configuration.ts
+++ b/node/operator-api/src/commit-change.ts
@@ -37,14 +37,14 @@
 };
 
 /** Checks a change against the configuration in the store, and writes it unless it is only checked. */
-export async function changeConfiguration(change: PlannedChange, parts: ChangeParts): Promise<Result<ChangeAnswer, OperatorFailure>> {
+export async function commitChange(change: PlannedChange, parts: ChangeParts): Promise<Result<ChangeAnswer, OperatorFailure>> {
 	for (let attempt = 0; attempt < maxAttempts; attempt++) {
 		const stored = await readStoredConfiguration(parts.store);
 		if (stored.isErr()) {
 			return err(stored.error);
 		}
 
-		const outcome = await tryChange(change, stored.value, parts);
+		const outcome = await commitOnce(change, stored.value, parts);
 		if (outcome !== 'raced') {
 			return outcome;
 		}
@@ -53,7 +53,7 @@
 	return err(createOperatorFailure('ERR_CONFIGURATION_CONFLICT', 'other operators changed the configuration during each attempt; try again'));
 }
 
-async function tryChange(change: PlannedChange, stored: StoredConfiguration, parts: ChangeParts): Promise<Result<ChangeAnswer, OperatorFailure> | 'raced'> {
+async function commitOnce(change: PlannedChange, stored: StoredConfiguration, parts: ChangeParts): Promise<Result<ChangeAnswer, OperatorFailure> | 'raced'> {
 	const before = stored.configuration;
 	if (before.version < parts.getVersion()) {
 		return err(createOperatorFailure(
@@ -64,7 +64,7 @@
 
 	const after = planChange(change, before, parts.listMembers());
 	if (after.isErr()) {
-		return resolveRefusal(change, before, {parts, findings: after.error});
+		return judgeRefusal(change, before, {parts, findings: after.error});
 	}
 
 	const changes = formatChanges(listChanges(before, after.value));
@@ -101,7 +101,7 @@
 };
 
 /** A note may be refused because it was accepted before and its answer was lost: then that is the answer. */
-async function resolveRefusal(change: PlannedChange, before: Configuration, opts: RefusalOpts): Promise<Result<ChangeAnswer, OperatorFailure>> {
+async function judgeRefusal(change: PlannedChange, before: Configuration, opts: RefusalOpts): Promise<Result<ChangeAnswer, OperatorFailure>> {
 	const {parts, findings} = opts;
 	const {baseVersion} = change;
 	if (baseVersion === undefined || baseVersion >= before.version) {
--- a/node/operator-api/src/operator-api.ts
+++ b/node/operator-api/src/operator-api.ts
@@ -19,7 +19,7 @@
 import {bodyLimit} from 'hono/body-limit';
 import {err, ResultAsync, type Result} from 'neverthrow';
 import {isAuthorised} from './authorise.js';
-import {changeConfiguration, type ChangeParts, type PlannedChange} from './change-configuration.js';
+import {commitChange, type ChangeParts, type PlannedChange} from './commit-change.js';
 import {findKeyExplanation} from './explain-key.js';
 import {readStoredConfiguration} from './configuration-rows.js';
 import {readHistory} from './history.js';
@@ -157,7 +157,7 @@
 };
 
 async function replyChange(planned: Result<PlannedChange, OperatorFailure>, {opts, parts, path}: ReplyOpts): Promise<Response> {
-	const outcome = planned.isOk() ? await changeConfiguration(planned.value, parts) : err<ChangeAnswer, OperatorFailure>(planned.error);
+	const outcome = planned.isOk() ? await commitChange(planned.value, parts) : err<ChangeAnswer, OperatorFailure>(planned.error);
 	opts.log.write({
 		event: 'operator-request',
 		command: planned.isOk() ? planned.value.summary : path,
--- a/node/operator-api/test/change-configuration.test.ts
+++ b/node/operator-api/test/commit-change.test.ts
@@ -9,7 +9,7 @@
 import type {Configuration} from '@buckthornpoint/types/configuration.js';
 import fc from 'fast-check';
 import type {Result} from 'neverthrow';
-import {changeConfiguration, type ChangeParts, type PlannedChange} from '../src/change-configuration.js';
+import {commitChange, type ChangeParts, type PlannedChange} from '../src/commit-change.js';
 import {configurationKey} from '../src/configuration-rows.js';
 import {ScriptedStore, type CommitFault} from './scripted-store.js';
 
@@ -63,7 +63,7 @@
 		const store = new ScriptedStore(async step => scheduler.schedule(Promise.resolve()).then(step), faults);
 		const learned: Configuration[] = [];
 		const parts = createParts(store, learned);
-		const changes = [changeConfiguration(planNote('anna', 0, 'kosice'), parts), changeConfiguration(planNote('bela', 0, 'zilina'), parts)];
+		const changes = [commitChange(planNote('anna', 0, 'kosice'), parts), commitChange(planNote('bela', 0, 'zilina'), parts)];
 		await scheduler.waitFor(Promise.all(changes));
 		const [anna, bela] = await Promise.all(changes);
 		await scheduler.waitIdle();
@@ -83,7 +83,7 @@
 	await fc.assert(fc.asyncProperty(fc.scheduler(), async scheduler => {
 		const store = new ScriptedStore(async step => scheduler.schedule(Promise.resolve()).then(step));
 		const parts = createParts(store);
-		const changes = [changeConfiguration(planNote('anna', 0, 'kosice'), parts), changeConfiguration(planNote('bela', 0, 'zilina'), parts)];
+		const changes = [commitChange(planNote('anna', 0, 'kosice'), parts), commitChange(planNote('bela', 0, 'zilina'), parts)];
 		await scheduler.waitFor(Promise.all(changes));
 		const outcomes = await Promise.all(changes);
 		assert.deepEqual(outcomes.map(outcome => getCode(outcome)).toSorted(), ['ERR_CONFIGURATION_CONFLICT', 'accepted']);
@@ -97,9 +97,9 @@
 	await fc.assert(fc.asyncProperty(fc.scheduler(), async scheduler => {
 		const store = new ScriptedStore(async step => scheduler.schedule(Promise.resolve()).then(step));
 		const parts = createParts(store);
-		const setup = changeConfiguration(planNote('setup', 0, 'kosice'), parts).then(async () => changeConfiguration(planNote('setup', 1, 'zilina'), parts));
+		const setup = commitChange(planNote('setup', 0, 'kosice'), parts).then(async () => commitChange(planNote('setup', 1, 'zilina'), parts));
 		await scheduler.waitFor(setup);
-		const commands = ['kosice', 'zilina'].map(async name => changeConfiguration(planCommand(name, {kind: 'failure-domain-out', name}), parts));
+		const commands = ['kosice', 'zilina'].map(async name => commitChange(planCommand(name, {kind: 'failure-domain-out', name}), parts));
 		await scheduler.waitFor(Promise.all(commands));
 		const outcomes = await Promise.all(commands);
 		assert.deepEqual(outcomes.map(outcome => outcome._unsafeUnwrap().version).toSorted((left, right) => left - right), [3, 4]);
@@ -111,10 +111,10 @@
 test('out and at once back, sent again after lost answers, end in service with one version each', async () => {
 	const store = new ScriptedStore(undefined, ['none', 'answer-lost', 'answer-lost']);
 	const parts = createParts(store);
-	await changeConfiguration(planNote('setup', 0, 'kosice'), parts);
+	await commitChange(planNote('setup', 0, 'kosice'), parts);
 	const words: string[] = [];
 	for (const kind of ['failure-domain-out', 'failure-domain-out', 'failure-domain-back', 'failure-domain-back'] as const) {
-		const outcome = await changeConfiguration(planCommand(kind, {kind, name: 'kosice'}), parts);
+		const outcome = await commitChange(planCommand(kind, {kind, name: 'kosice'}), parts);
 		words.push(getCode(outcome));
 	}
 
@@ -127,15 +127,15 @@
 test('a note that is sent again after its answer was lost on the way to the operator is told that it was accepted', async () => {
 	const store = new ScriptedStore();
 	const parts = createParts(store);
-	await changeConfiguration(planNote('anna', 0, 'kosice'), parts);
-	await changeConfiguration(planNote('bela', 1, 'zilina'), parts);
-	const again = await changeConfiguration(planNote('anna', 0, 'kosice'), parts);
+	await commitChange(planNote('anna', 0, 'kosice'), parts);
+	await commitChange(planNote('bela', 1, 'zilina'), parts);
+	const again = await commitChange(planNote('anna', 0, 'kosice'), parts);
 	assert.deepEqual(again._unsafeUnwrap(), {outcome: 'accepted', version: 1, changes: ['+ failure domain kosice']});
 });
 
 test('a store that forgot an accepted version is refused', async () => {
 	const store = new ScriptedStore();
-	const outcome = await changeConfiguration(planNote('anna', 0, 'kosice'), {...createParts(store), getVersion: () => 7});
+	const outcome = await commitChange(planNote('anna', 0, 'kosice'), {...createParts(store), getVersion: () => 7});
 	assert.equal(getCode(outcome), 'ERR_STORE_CONFLICT');
 	assert.equal(store.table.readRow(configurationKey), undefined);
 });
@@ -144,7 +144,7 @@
 	const store = new ScriptedStore();
 	store.isDown = true;
 	const learned: Configuration[] = [];
-	const outcome = await changeConfiguration(planNote('anna', 0, 'kosice'), createParts(store, learned));
+	const outcome = await commitChange(planNote('anna', 0, 'kosice'), createParts(store, learned));
 	assert.match(outcome._unsafeUnwrapErr().message, /nothing was accepted/v);
 	assert.equal(learned.length, 0);
 });
