feat: run each non-idempotent request at most once and admit work within limits

Cause: the guard handed over whatever it was given, so that a repeated id ran again and a backend server got any load. Change: core/outcomes records the ids that one run of a node has seen, bounded by time, number and bytes, and never takes an id for new that it may have forgotten. The guard checks incarnation, lease, record (asking the owner that released the partition for ids issued before its own time), admission, and the lease again directly before the hand-over. Each sending of an id carries an attempt number: a refusal holds for earlier sendings that arrive late. FindOutcome refuses an unseen id from then on. Requests are given up when their lease or time ends. Admission: a limit per run of a backend server that starts at coldConcurrency and grows on evidence, a bounded queue with shares by class, shedding by expected wait. Taking out the incarnation check fails "an attempt that names another run of the node is refused and did not run"; taking out the outcome query fails "a new owner does not run what a lost owner may have run" and "a new owner asks the owner that released the partition, and runs only what that one never saw"; taking out the second lease check fails "a request that waited past the end of the lease, while the monotonic clock stood still, is not handed over". The limit itself is not measured under load yet.

--- a/core/types/src/requests.ts
+++ b/core/types/src/requests.ts
@@ -9,6 +9,8 @@
 /** A caller's request as it travels between nodes. */
 export type RoutedRequest = {
 	readonly requestId: string;
+	/** Grows with each sending of the id, by the caller or by a node. */
+	readonly attempt: number;
 	readonly service: ServiceName;
 	readonly key: string;
 	readonly partition: PartitionNumber;
--- a/node/daemon/src/daemon.ts
+++ b/node/daemon/src/daemon.ts
@@ -1,8 +1,11 @@
 import {randomUUID} from 'node:crypto';
 import {CellTask} from '@buckthornpoint/cell/cell-task.js';
 import type {Clock} from '@buckthornpoint/clock/clock.js';
+import {createSystemRandom} from '@buckthornpoint/clock/system-random.js';
 import {Guard} from '@buckthornpoint/guard/guard.js';
 import type {Log} from '@buckthornpoint/log/log.js';
+import {SilentMetrics} from '@buckthornpoint/metrics/metrics.js';
+import {createAskOutcome} from '@buckthornpoint/router/ask-outcome.js';
 import {createCallerApi} from '@buckthornpoint/router/caller-api.js';
 import {PeerClient} from '@buckthornpoint/router/peer-client.js';
 import {registerRequestCalls} from '@buckthornpoint/router/peer-service.js';
@@ -38,9 +41,21 @@
 	const cell = new CellTask({
 		cell: settings.cell, member, store, clock: opts.clock, log: opts.log,
 	});
-	const guard = new Guard({clock: opts.clock, ownership: cell.ownership, backendServer: cell.backendServer});
+	const peers = new PeerClient();
+	const guard = new Guard({
+		clock: opts.clock,
+		random: createSystemRandom(),
+		metrics: new SilentMetrics(),
+		ownership: cell.ownership,
+		backendServer: cell.backendServer,
+		configuration: cell.configuration,
+		askOutcome: createAskOutcome(peers, cell.routing),
+		onDrained() {
+			// The cell hands nothing over yet.
+		},
+	});
 	const router = new Router({
-		node: member, guard, peers: new PeerClient(), routing: cell.routing, configuration: cell.configuration,
+		node: member, guard, peers, routing: cell.routing, configuration: cell.configuration,
 	});
 	peerServer.serve(connectRouter => {
 		registerRequestCalls(connectRouter, guard);
--- a/node/guard/src/backend-client.ts
+++ b/node/guard/src/backend-client.ts
@@ -1,11 +1,13 @@
 import {
-	createNotRun, createOutcomeUnknown, type Header, type RequestResult, type RoutedRequest,
+	createNotRun, createOutcomeUnknown, type FailureReason, type Header, type RequestResult, type RoutedRequest,
 } from '@buckthornpoint/types/requests.js';
 import {formatFence, type Fence} from '@buckthornpoint/types/identity.js';
 import type {BackendServer} from '@buckthornpoint/types/membership.js';
 import {Pool, type Dispatcher} from 'undici';
 
 const refusedHeader = 'buckthornpoint-refused';
+/** Codes of errors that come before a connection is open. */
+const unopenedCodes = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'UND_ERR_CONNECT_TIMEOUT']);
 const hopByHopHeaders = new Set(['connection', 'keep-alive', 'transfer-encoding', 'upgrade', 'te', 'trailer', 'proxy-connection', 'host', 'content-length', 'expect']);
 
 /** Limits that the node keeps towards one backend server. */
@@ -14,6 +16,16 @@
 	readonly maxConnections: number;
 };
 
+/** Under which right a request is handed over. */
+export type HandOverOpts = {
+	/** Absent for a request that needs no grant. */
+	readonly fence: Fence | undefined;
+	/** Time that the backend server has, in milliseconds. */
+	readonly deadlineMs: number;
+	/** Its reason is the `FailureReason` for which the request is given up. */
+	readonly signal: AbortSignal;
+};
+
 /** Speaks HTTP to the backend server beside the node. */
 export class BackendClient {
 	readonly #pool: Pool;
@@ -23,19 +35,20 @@
 	}
 
 	/** Sends the request under the fence and returns the whole answer, or a failure that says whether it may have run. */
-	async send(routed: RoutedRequest, fence: Fence, signal: AbortSignal): Promise<RequestResult> {
+	async send(routed: RoutedRequest, opts: HandOverOpts): Promise<RequestResult> {
 		try {
 			const response = await this.#pool.request({
 				method: routed.method,
 				path: routed.path,
-				headers: createHeaders(routed, fence),
+				headers: createHeaders(routed, opts),
 				body: routed.body.length === 0 ? undefined : routed.body,
-				signal,
+				idempotent: routed.idempotent,
+				signal: opts.signal,
 			});
 			const body = await response.body.bytes();
-			return createResult(routed, fence, response, body);
+			return createResult(routed, opts.fence, response, body);
 		} catch (error) {
-			return createFailure(routed, error);
+			return createFailure(routed, error, opts.signal);
 		}
 	}
 
@@ -45,7 +58,7 @@
 	}
 }
 
-function createResult(routed: RoutedRequest, fence: Fence, response: Dispatcher.ResponseData, body: Uint8Array): RequestResult {
+function createResult(routed: RoutedRequest, fence: Fence | undefined, response: Dispatcher.ResponseData, body: Uint8Array): RequestResult {
 	const refused = response.headers[refusedHeader];
 	if (refused !== undefined) {
 		return createNotRun(routed.requestId, 'backend-server-refused', `the backend server refused the request: ${String(refused)}`);
@@ -61,19 +74,24 @@
 	};
 }
 
-function createFailure(routed: RoutedRequest, error: unknown): RequestResult {
-	if (error instanceof Error && 'code' in error && error.code === 'ECONNREFUSED') {
-		return createNotRun(routed.requestId, 'backend-server-unreachable', 'the backend server refused the connection');
+function createFailure(routed: RoutedRequest, error: unknown, signal: AbortSignal): RequestResult {
+	if (signal.aborted) {
+		const reason = signal.reason as FailureReason; // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion
+		return createOutcomeUnknown(routed.requestId, reason, `the request was given up while it ran: ${reason}`);
+	}
+
+	if (error instanceof Error && 'code' in error && unopenedCodes.has(String(error.code))) {
+		return createNotRun(routed.requestId, 'backend-server-unreachable', 'the backend server accepted no connection');
 	}
 
 	return createOutcomeUnknown(routed.requestId, 'lost-answer', `the answer of the backend server was lost: ${String(error)}`);
 }
 
-function createHeaders(routed: RoutedRequest, fence: Fence): Record<string, string> {
+function createHeaders(routed: RoutedRequest, opts: HandOverOpts): Record<string, string> {
 	const headers: Record<string, string> = {};
 	for (const [name, value] of routed.headers) {
 		if (!hopByHopHeaders.has(name)) {
-			headers[name] = value;
+			headers[name] = headers[name] === undefined ? value : `${headers[name]}, ${value}`;
 		}
 	}
 
@@ -81,8 +99,11 @@
 	headers['buckthornpoint-service'] = routed.service;
 	headers['buckthornpoint-key'] = routed.key;
 	headers['buckthornpoint-partition'] = String(routed.partition);
-	headers['buckthornpoint-fence'] = formatFence(fence);
-	headers['buckthornpoint-deadline-ms'] = String(Math.max(0, Math.floor(routed.remainingMs)));
+	headers['buckthornpoint-deadline-ms'] = String(Math.max(0, Math.floor(opts.deadlineMs)));
+	if (opts.fence !== undefined) {
+		headers['buckthornpoint-fence'] = formatFence(opts.fence);
+	}
+
 	return headers;
 }
 
--- /dev/null
+++ b/node/guard/test/fake-backend.ts
@@ -0,0 +1,171 @@
+import {
+	createServer, type IncomingMessage, type Server, type ServerResponse,
+} from 'node:http';
+import type {AddressInfo} from 'node:net';
+import {ManualClock} from '@buckthornpoint/clock/manual-clock.js';
+import {SeededRandom} from '@buckthornpoint/clock/seeded-random.js';
+import {SilentMetrics} from '@buckthornpoint/metrics/metrics.js';
+import type {Grant, OwnershipView} from '@buckthornpoint/ownership/ownership-view.js';
+import {Published} from '@buckthornpoint/tasks/published.js';
+import {emptyConfiguration, type Configuration} from '@buckthornpoint/types/configuration.js';
+import type {PartitionId} from '@buckthornpoint/types/identity.js';
+import type {BackendServer} from '@buckthornpoint/types/membership.js';
+import type {RoutedRequest} from '@buckthornpoint/types/requests.js';
+import {Guard, type GuardOpts} from '../src/guard.js';
+
+/** How a fake backend server treats a request. */
+export type Treatment = 'answer' | 'refuse' | 'lose-answer' | 'hold';
+
+/** A backend server on a loopback socket that counts how often each request ran. */
+export class FakeBackend {
+	readonly runs = new Map<string, number>();
+	origin = '';
+	treat: (requestId: string) => Treatment;
+
+	readonly #held: Array<() => void> = [];
+	readonly #server: Server;
+
+	constructor() {
+		this.treat = () => 'answer';
+		this.#server = createServer((request, response) => {
+			this.#handle(request, response);
+		});
+	}
+
+	/** Starts to listen. */
+	async open(): Promise<void> {
+		await new Promise<void>(resolve => {
+			this.#server.listen(0, '127.0.0.1', resolve);
+		});
+		this.origin = `http://127.0.0.1:${(this.#server.address() as AddressInfo).port}`; // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion
+	}
+
+	/** Answers all requests that are held. */
+	release(): void {
+		for (const answer of this.#held.splice(0)) {
+			answer();
+		}
+	}
+
+	/** Returns how many requests are held. */
+	countHeld(): number {
+		return this.#held.length;
+	}
+
+	/** Stops. */
+	async close(): Promise<void> {
+		await new Promise<void>(resolve => {
+			this.#server.close(() => {
+				resolve();
+			});
+			this.#server.closeAllConnections();
+		});
+	}
+
+	#handle(request: IncomingMessage, response: ServerResponse): void {
+		const requestId = String(request.headers['buckthornpoint-request-id']);
+		const treatment = this.treat(requestId);
+		if (treatment === 'refuse') {
+			response.writeHead(503, {'buckthornpoint-refused': 'overloaded'}).end();
+			return;
+		}
+
+		this.runs.set(requestId, (this.runs.get(requestId) ?? 0) + 1);
+		const send = (): void => {
+			response.writeHead(200, {'buckthornpoint-request-id': requestId}).end('done');
+		};
+
+		if (treatment === 'lose-answer') {
+			request.socket.destroy();
+		} else if (treatment === 'hold') {
+			this.#held.push(send);
+		} else {
+			send();
+		}
+	}
+}
+
+/** A guard over a fake backend server, and what it is told. */
+export type GuardBench = {
+	readonly clock: ManualClock;
+	readonly guard: Guard;
+	readonly ownership: Published<OwnershipView>;
+	readonly backendServer: Published<BackendServer | undefined>;
+	readonly configuration: Published<Configuration>;
+	readonly drained: readonly PartitionId[];
+};
+
+/** How a guard differs from the usual one. */
+export type BenchOpts = {
+	readonly incarnation: string;
+	readonly grant?: Partial<Grant>;
+	readonly askOutcome?: GuardOpts['askOutcome'];
+	readonly clock?: ManualClock;
+};
+
+/** The partition that the guards of the tests own. */
+export const partition: PartitionId = {service: 'rezervacie', partition: 3};
+
+/** Creates a guard that owns the partition for a minute. */
+export function createBench(backend: FakeBackend, opts: BenchOpts): GuardBench {
+	const clock = opts.clock ?? new ManualClock();
+	const now = clock.readMoment();
+	const ownership = new Published<OwnershipView>({
+		node: {vmId: opts.incarnation, incarnation: opts.incarnation},
+		leaseEnd: {monotonicMs: now.monotonicMs + 60_000, wallMs: now.wallMs + 60_000},
+		grants: new Map([['rezervacie/3', {
+			partition, fence: {epoch: 1, counter: 1}, ownedSince: now, predecessor: undefined, releasing: false, ...opts.grant,
+		}]]),
+	});
+	const backendServer = new Published<BackendServer | undefined>({
+		name: 'r', service: 'rezervacie', origin: backend.origin, slots: 4, checksFence: false, incarnation: 'b1', leaving: false,
+	});
+	const configuration = new Published<Configuration>({
+		...emptyConfiguration,
+		services: [{
+			name: 'rezervacie', tenant: 't', divided: true, partitionCount: 16, maxConnections: 110, coldConcurrency: 4, rules: [],
+		}],
+	});
+	const drained: PartitionId[] = [];
+	const guard = new Guard({
+		clock,
+		random: new SeededRandom(1),
+		metrics: new SilentMetrics(),
+		ownership,
+		backendServer,
+		configuration,
+		askOutcome: opts.askOutcome ?? (async () => ({state: 'unknown'})),
+		onDrained(released) {
+			drained.push(released);
+		},
+	});
+	return {
+		clock, guard, ownership, backendServer, configuration, drained,
+	};
+}
+
+/** Creates an id that was issued at the time of the wall clock. */
+export function createId(wallMs: number, serial: number): string {
+	const time = wallMs.toString(16).padStart(12, '0');
+	return `${time.slice(0, 8)}-${time.slice(8)}-7000-8000-${serial.toString(16).padStart(12, '0')}`;
+}
+
+/** Creates a reservation that is sent to a node. */
+export function createReservation(requestId: string, incarnation: string, opts: Partial<RoutedRequest> = {}): RoutedRequest {
+	return {
+		...partition,
+		requestId,
+		attempt: 1,
+		key: 'lot-1',
+		tenant: 't',
+		idempotent: false,
+		requestClass: 'transactional',
+		remainingMs: 5000,
+		method: 'POST',
+		path: '/lots',
+		headers: [],
+		body: new Uint8Array(),
+		target: {vmId: incarnation, incarnation},
+		...opts,
+	};
+}
--- a/node/router/src/convert.ts
+++ b/node/router/src/convert.ts
@@ -1,7 +1,9 @@
 import {create} from '@bufbuild/protobuf';
 import {
-	AnswerSchema, FailureSchema, ForwardRequestSchema, ForwardResponseSchema, type ForwardRequest, type ForwardResponse,
+	AnswerSchema, FailureSchema, FindOutcomeRequestSchema, FindOutcomeResponseSchema, ForwardRequestSchema, ForwardResponseSchema,
+	type FindOutcomeRequest, type FindOutcomeResponse, type ForwardRequest, type ForwardResponse,
 } from '@buckthornpoint/protocol/generated/buckthornpoint/v1/peer_pb.js';
+import type {OutcomeQuestion, OutcomeReport} from '@buckthornpoint/guard/outcome-question.js';
 import type {RequestClass} from '@buckthornpoint/types/configuration.js';
 import {
 	createNotRun, createOutcomeUnknown, type FailureReason, type Header, type RequestResult, type RoutedRequest,
@@ -28,6 +30,7 @@
 
 	return ok({
 		requestId: message.requestId,
+		attempt: message.attempt,
 		service: message.service,
 		key: message.key,
 		partition: message.partition,
@@ -98,6 +101,40 @@
 	};
 }
 
+/** Encodes a question for the outcome of a request. */
+export function encodeQuestion(question: OutcomeQuestion): FindOutcomeRequest {
+	const {partition, ...others} = question;
+	return create(FindOutcomeRequestSchema, {...others, ...partition});
+}
+
+/** Decodes a question for the outcome of a request. */
+export function decodeQuestion(message: FindOutcomeRequest): OutcomeQuestion {
+	const {requestId, service, partition, attempt, targetIncarnation, remainingHops} = message;
+	return {
+		requestId, partition: {service, partition}, attempt, targetIncarnation, remainingHops,
+	};
+}
+
+/** Encodes what a node knows of a request. */
+export function encodeReport(requestId: string, report: OutcomeReport): FindOutcomeResponse {
+	return create(FindOutcomeResponseSchema, {
+		requestId, state: report.state, result: report.state === 'finished' ? encodeResult(report.result) : undefined,
+	});
+}
+
+/** Decodes what a node knows of a request; a word that is not known counts as `unknown`. */
+export function decodeReport(requestId: string, message: FindOutcomeResponse): OutcomeReport {
+	if (message.requestId !== requestId) {
+		return {state: 'unknown'};
+	}
+
+	if (message.state === 'finished' && message.result !== undefined) {
+		return {state: 'finished', result: decodeResult(requestId, message.result)};
+	}
+
+	return {state: message.state === 'never-seen' || message.state === 'running' ? message.state : 'unknown'};
+}
+
 function encodeHeaders(headers: readonly Header[]): Array<{name: string; value: string}> {
 	return headers.map(([name, value]) => ({name, value}));
 }
--- a/node/router/src/parse-request.ts
+++ b/node/router/src/parse-request.ts
@@ -6,6 +6,7 @@
 import {err, ok, type Result} from 'neverthrow';
 import {v7 as createUuid} from 'uuid';
 
+const attemptsPerSending = 1000;
 const fallbackDeadlineMs = 1000;
 const ownHeaders = 'buckthornpoint-';
 
@@ -46,6 +47,7 @@
 
 	return ok({
 		requestId,
+		attempt: attemptsPerSending,
 		service: service.name,
 		key,
 		partition: findPartition(key, service.partitionCount),
--- a/node/router/src/peer-client.ts
+++ b/node/router/src/peer-client.ts
@@ -1,8 +1,11 @@
 import {createClient, type Client} from '@connectrpc/connect';
 import {createConnectTransport} from '@connectrpc/connect-node';
+import type {OutcomeQuestion, OutcomeReport} from '@buckthornpoint/guard/outcome-question.js';
 import {PeerService} from '@buckthornpoint/protocol/generated/buckthornpoint/v1/peer_pb.js';
 import {createOutcomeUnknown, type RequestResult, type RoutedRequest} from '@buckthornpoint/types/requests.js';
-import {decodeResult, encodeRequest} from './convert.js';
+import {
+	decodeReport, decodeResult, encodeQuestion, encodeRequest,
+} from './convert.js';
 
 type PeerServiceClient = Client<typeof PeerService>;
 
@@ -20,6 +23,15 @@
 		}
 	}
 
+	/** Asks the node at the origin what became of a request. */
+	async findOutcome(peerOrigin: string, question: OutcomeQuestion, signal: AbortSignal): Promise<OutcomeReport> {
+		try {
+			return decodeReport(question.requestId, await this.#getClient(peerOrigin).findOutcome(encodeQuestion(question), {signal}));
+		} catch {
+			return {state: 'unknown'};
+		}
+	}
+
 	#getClient(peerOrigin: string): PeerServiceClient {
 		const known = this.#clients.get(peerOrigin);
 		if (known !== undefined) {
