--- /dev/null
+++ b/cli/buckthornpoint/src/exit-codes.ts
@@ -0,0 +1,51 @@
+import type {ErrorCode} from '@buckthornpoint/errors/codes.js';
+
+/** What the command tells the shell. A code never changes its meaning. */
+export const exitCodes = {
+	done: 0,
+	internal: 1,
+	usage: 2,
+	refused: 3,
+	conflict: 4,
+	noBearer: 5,
+	notAuthorised: 6,
+	unavailable: 7,
+	outcomeUnknown: 8,
+	notInForce: 9,
+} as const;
+
+/** One of the exit codes. */
+export type ExitCode = typeof exitCodes[keyof typeof exitCodes];
+
+/** The exit codes as `--help` prints them. */
+export const exitCodesHelp = [
+	'Exit codes:',
+	'  0  done',
+	'  1  internal error',
+	'  2  wrong usage',
+	'  3  refused, with findings',
+	'  4  conflict: another operator changed the configuration meanwhile',
+	'  5  would leave a service without a backend server (see --force)',
+	'  6  operator key missing or wrong',
+	'  7  no node reached, or no node reaches the store; nothing was accepted',
+	'  8  outcome unknown: ask the history',
+	'  9  accepted, but not in force everywhere within the time of --wait-seconds',
+].join('\n');
+
+const byErrorCode: ReadonlyMap<ErrorCode, ExitCode> = new Map<ErrorCode, ExitCode>([
+	['ERR_CONFIGURATION_CONFLICT', exitCodes.conflict],
+	['ERR_STORE_CONFLICT', exitCodes.conflict],
+	['ERR_WOULD_LEAVE_NO_BEARER', exitCodes.noBearer],
+	['ERR_NOT_AUTHORISED', exitCodes.notAuthorised],
+	['ERR_STORE_UNAVAILABLE', exitCodes.unavailable],
+	['ERR_PEER_UNREACHABLE', exitCodes.unavailable],
+	['ERR_STORE_OUTCOME_UNKNOWN', exitCodes.outcomeUnknown],
+	['ERR_OUTCOME_UNKNOWN', exitCodes.outcomeUnknown],
+	['ERR_USAGE', exitCodes.usage],
+	['ERR_INTERNAL', exitCodes.internal],
+]);
+
+/** Returns the exit code that stands for an error. */
+export function getExitCode(code: ErrorCode): ExitCode {
+	return byErrorCode.get(code) ?? exitCodes.refused;
+}
--- /dev/null
+++ b/cli/buckthornpoint/src/render/history.ts
@@ -0,0 +1,9 @@
+import type {HistoryEntry} from '@buckthornpoint/configuration/operator-protocol.js';
+
+/** Formats accepted versions: one line each, with what changed indented below. */
+export function formatHistory(entries: readonly HistoryEntry[]): string {
+	return entries.map(entry => [
+		`version ${entry.version}  ${new Date(entry.acceptedAtMs).toISOString()}  ${entry.operator}: ${entry.summary}`,
+		...entry.changes.map(change => `  ${change}`),
+	].join('\n')).join('\n');
+}
--- /dev/null
+++ b/cli/buckthornpoint/src/render/status.ts
@@ -0,0 +1,79 @@
+import Table from 'cli-table3';
+import {countBearers, maxSilenceOfBearerMs} from '@buckthornpoint/configuration/bearers.js';
+import type {Configuration} from '@buckthornpoint/types/configuration.js';
+import type {MemberLine, StatusAnswer} from '../status-answer.js';
+
+/** Formats the status of a cell for people. */
+export function formatStatus(answer: StatusAnswer): string {
+	const {status, configuration} = answer;
+	return [
+		formatSummary(answer),
+		formatTable(['service', 'tenant', 'owns keys', 'partitions', 'bearers'], configuration.services.map(service => [
+			service.name,
+			service.tenant,
+			service.divided ? 'yes' : 'no',
+			service.partitionCount,
+			countMembers(answer, service.name),
+		])),
+		formatTable(['failure domain', 'state', 'VMs'], configuration.failureDomains.map(({name, out}) => [
+			name,
+			out ? 'out' : 'in service',
+			status.members.filter(({failureDomain}) => failureDomain === name).length,
+		])),
+		formatTable(['VM', 'failure domain', 'backend server', 'service', 'state', 'partitions', 'version'], status.members.map(member => [
+			member.vmId,
+			member.failureDomain,
+			member.backendServer?.name ?? '-',
+			member.backendServer?.service ?? '-',
+			formatState(member, configuration),
+			member.partitionCount,
+			member.configurationVersion ?? '?',
+		])),
+	].join('\n');
+}
+
+/** Formats who controls the cell, which version is in force and whether the store is reached. */
+export function formatSummary({status}: StatusAnswer): string {
+	const controller = status.controller === undefined ? 'no controller known' : `controller ${status.controller.vmId} (epoch ${status.epoch})`;
+	const store = status.storeReachable === undefined ? 'not asked yet' : (status.storeReachable ? 'reachable' : 'not reachable');
+	return `cell ${status.cell}: version ${status.configurationVersion} in force, map ${status.mapVersion}, ${controller}, store ${store} from ${status.node.vmId}`;
+}
+
+/** Formats what a member does at present, in a few words. */
+export function formatState(member: MemberLine, configuration: Configuration): string {
+	if (configuration.deadVms.includes(member.vmId)) {
+		return 'declared dead';
+	}
+
+	if (member.silentForMs !== undefined && member.silentForMs > maxSilenceOfBearerMs) {
+		return 'silent';
+	}
+
+	if (configuration.stoppingVms.includes(member.vmId)) {
+		return 'stopping';
+	}
+
+	if (configuration.failureDomains.some(({name, out}) => out && name === member.failureDomain)) {
+		return 'out';
+	}
+
+	return member.backendServer?.leaving === true ? 'leaving' : member.phase;
+}
+
+function countMembers({status, configuration}: StatusAnswer, service: string): number {
+	const members = status.members.map(({backendServer, ...member}) => ({
+		...member,
+		backendServer: backendServer === undefined
+			? undefined
+			: {
+				...backendServer, origin: '', slots: 0, checksFence: false, incarnation: '',
+			},
+	}));
+	return countBearers(configuration, service, members);
+}
+
+function formatTable(head: readonly string[], rows: ReadonlyArray<ReadonlyArray<string | number>>): string {
+	const table = new Table({head: [...head], style: {head: [], border: []}});
+	table.push(...rows.map(row => [...row]));
+	return table.toString();
+}
