--- a/node/daemon/src/announcement-api.ts
+++ b/node/daemon/src/announcement-api.ts
@@ -1,8 +1,9 @@
 import type {HttpBindings} from '@hono/node-server';
+import {toResult} from '@buckthornpoint/documents/either.js';
 import type {BackendServer} from '@buckthornpoint/types/membership.js';
 import {Hono, type Context} from 'hono';
 import {
-	boolean, Codec, Left, number, Right, string, type Either,
+	boolean, Codec, number, string,
 } from 'purify-ts';
 
 const statusInvalid = 400;
@@ -23,15 +24,14 @@
 			return context.json({code: 'ERR_NOT_AUTHORISED', message: 'announcements are accepted from this VM only'}, statusForbidden);
 		}
 
-		const decoded = announcementCodec.decode(await readJson(context));
-		return decoded
-			.chain(backendServer => checkAnnouncement(backendServer))
-			.map(backendServer => {
-				record(backendServer);
-				return context.json({});
-			})
-			.mapLeft(message => context.json({code: 'ERR_DOCUMENT_TYPE', message}, statusInvalid))
-			.extract();
+		const decoded = toResult(announcementCodec.decode(await readJson(context)));
+		const faults = decoded.isOk() ? listFaults(decoded.value) : [decoded.error];
+		if (decoded.isErr() || faults.length > 0) {
+			return context.json({code: 'ERR_DOCUMENT_TYPE', message: faults.join('; ')}, statusInvalid);
+		}
+
+		record(decoded.value);
+		return context.json({});
 	});
 	return app;
 }
@@ -44,15 +44,14 @@
 	}
 }
 
-function checkAnnouncement(backendServer: BackendServer): Either<string, BackendServer> {
-	const faults = [
+function listFaults(backendServer: BackendServer): readonly string[] {
+	return [
 		...(backendServer.name === '' ? ['name is empty'] : []),
 		...(backendServer.service === '' ? ['service is empty'] : []),
 		...(URL.canParse(backendServer.origin) ? [] : [`origin is not a URL: ${backendServer.origin}`]),
 		...(Number.isInteger(backendServer.slots) && backendServer.slots > 0 ? [] : [`slots is not a positive whole number: ${backendServer.slots}`]),
 		...(backendServer.incarnation === '' ? ['incarnation is empty'] : []),
 	];
-	return faults.length === 0 ? Right(backendServer) : Left(faults.join('; '));
 }
 
 function isFromThisVm(context: Context<Environment>): boolean {
--- a/node/daemon/src/backend-server-watch.ts
+++ b/node/daemon/src/backend-server-watch.ts
@@ -1,5 +1,6 @@
-import {measureElapsed, type Clock, type Moment, type Timer} from '@buckthornpoint/clock/clock.js';
-import type {Log} from '@buckthornpoint/log/log.js';
+import {
+	measureElapsed, type Clock, type Moment, type Timer,
+} from '@buckthornpoint/clock/clock.js';
 import type {BackendServer} from '@buckthornpoint/types/membership.js';
 
 const silenceMs = 5000;
@@ -7,46 +8,28 @@
 
 /** Whom the watch tells what it hears. */
 export type BackendServerListener = {
-	/** A backend server announced itself for the first time, or something about it changed. */
+	/** The backend server announced itself, for the first time or again. */
 	announce(backendServer: BackendServer): void;
 	/** The backend server has not repeated its announcement in time. */
 	noteSilence(): void;
 };
 
-/** What the watch works with. */
-export type BackendServerWatchOpts = {
-	readonly clock: Clock;
-	readonly log: Log;
-	readonly listener: BackendServerListener;
-};
-
-type Announcement = {
-	readonly backendServer: BackendServer;
-	readonly heardAt: Moment;
-};
-
 /** Hears the announcements of the backend server beside the node, and notices when they cease. */
 export class BackendServerWatch {
-	readonly #opts: BackendServerWatchOpts;
-	#last: Announcement | undefined;
+	readonly #clock: Clock;
+	readonly #listener: BackendServerListener;
+	#heardAt: Moment | undefined;
 	#timer: Timer | undefined;
 
-	constructor(opts: BackendServerWatchOpts) {
-		this.#opts = opts;
+	constructor(clock: Clock, listener: BackendServerListener) {
+		this.#clock = clock;
+		this.#listener = listener;
 	}
 
-	/** Takes an announcement; one that repeats the last only shows that the backend server is there. */
+	/** Takes an announcement. */
 	record(backendServer: BackendServer): void {
-		const isKnown = this.#last !== undefined && isSameAnnouncement(this.#last.backendServer, backendServer);
-		this.#last = {backendServer, heardAt: this.#opts.clock.readMoment()};
-		if (!isKnown) {
-			const {name, service, incarnation} = backendServer;
-			this.#opts.log.write({
-				event: 'backend-server-announced', name, service, incarnation,
-			});
-			this.#opts.listener.announce(backendServer);
-		}
-
+		this.#heardAt = this.#clock.readMoment();
+		this.#listener.announce(backendServer);
 		this.#timer ??= this.#startCheck();
 	}
 
@@ -56,35 +39,23 @@
 	}
 
 	#startCheck(): Timer {
-		return this.#opts.clock.startTimer(checkIntervalMs, () => {
+		return this.#clock.startTimer(checkIntervalMs, () => {
 			this.#timer = undefined;
 			this.#checkSilence();
 		});
 	}
 
 	#checkSilence(): void {
-		if (this.#last === undefined) {
+		if (this.#heardAt === undefined) {
 			return;
 		}
 
-		if (measureElapsed(this.#last.heardAt, this.#opts.clock.readMoment()) < silenceMs) {
+		if (measureElapsed(this.#heardAt, this.#clock.readMoment()) < silenceMs) {
 			this.#timer = this.#startCheck();
 			return;
 		}
 
-		const {name, service} = this.#last.backendServer;
-		this.#last = undefined;
-		this.#opts.log.write({event: 'backend-server-silent', name, service});
-		this.#opts.listener.noteSilence();
+		this.#heardAt = undefined;
+		this.#listener.noteSilence();
 	}
 }
-
-function isSameAnnouncement(left: BackendServer, right: BackendServer): boolean {
-	return left.name === right.name
-		&& left.service === right.service
-		&& left.origin === right.origin
-		&& left.slots === right.slots
-		&& left.checksFence === right.checksFence
-		&& left.incarnation === right.incarnation
-		&& left.leaving === right.leaving;
-}
--- a/node/daemon/src/daemon.ts
+++ b/node/daemon/src/daemon.ts
@@ -7,24 +7,30 @@
 import {PeerClient} from '@buckthornpoint/router/peer-client.js';
 import {registerRequestCalls} from '@buckthornpoint/router/peer-service.js';
 import {Router} from '@buckthornpoint/router/router.js';
+import type {Metrics} from '@buckthornpoint/metrics/metrics.js';
 import type {NodeSettings} from '@buckthornpoint/settings/settings.js';
 import {HttpTableStore} from '@buckthornpoint/table-store/http-table-store.js';
 import type {Member} from '@buckthornpoint/types/membership.js';
 import {Hono} from 'hono';
 import {createAnnouncementApi} from './announcement-api.js';
+import {BackendServerWatch} from './backend-server-watch.js';
 import {listenForHttp, listenForPeers} from './servers.js';
 
 /** What a daemon is given besides its settings. */
 export type DaemonOpts = {
 	readonly clock: Clock;
 	readonly log: Log;
+	/** By default no values are sent. */
+	readonly metrics?: Metrics;
 };
 
 /** A node that runs. */
 export type Daemon = {
 	readonly callerOrigin: string;
 	readonly peerOrigin: string;
-	/** Stops the node and gives up all that it holds. */
+	/** Stops as planned: hands over what the node owns, finishes what runs, then closes. */
+	stop(): Promise<void>;
+	/** Stops at once and gives up all that the node holds. */
 	close(): Promise<void>;
 };
 
@@ -45,24 +51,33 @@
 	peerServer.serve(connectRouter => {
 		registerRequestCalls(connectRouter, guard);
 	});
+	const watch = new BackendServerWatch(opts.clock, {
+		announce(backendServer) {
+			cell.announce(backendServer);
+		},
+		noteSilence() {
+			// The naive cell keeps a silent backend server.
+		},
+	});
 	app.route('/', createAnnouncementApi(backendServer => {
-		cell.announce(backendServer);
+		watch.record(backendServer);
 	}));
 	app.route('/', createCallerApi(router));
 	const running = cell.run();
 	opts.log.write({event: 'node-started', ...member});
+	const close = async () => {
+		watch.close();
+		await cell.close();
+		await running;
+		await callerServer.close();
+		await peerServer.close();
+		await guard.close();
+		await store.close();
+		opts.log.write({event: 'node-stopped', vmId: member.vmId});
+	};
+
 	return {
-		callerOrigin: member.callerOrigin,
-		peerOrigin: member.peerOrigin,
-		async close() {
-			await cell.close();
-			await running;
-			await callerServer.close();
-			await peerServer.close();
-			await guard.close();
-			await store.close();
-			opts.log.write({event: 'node-stopped', vmId: member.vmId});
-		},
+		callerOrigin: member.callerOrigin, peerOrigin: member.peerOrigin, stop: close, close,
 	};
 }
 
--- a/node/daemon/src/main.ts
+++ b/node/daemon/src/main.ts
@@ -34,7 +34,7 @@
 		.fail((message, error, parser) => {
 			process.stderr.write(`${message || String(error)}\n\n`);
 			parser.showHelp('error');
-			process.exit(exitCodes.invalid); // eslint-disable-line unicorn/no-process-exit
+			process.exit(exitCodes.invalid);
 		})
 		.strict()
 		.parseSync();
@@ -87,7 +87,7 @@
 		watchStopSignals({
 			onStop: resolve,
 			onStopAtOnce() {
-				process.exit(exitCodes.stoppedAtOnce); // eslint-disable-line unicorn/no-process-exit
+				process.exit(exitCodes.stoppedAtOnce);
 			},
 		});
 	});
