--- a/node/daemon/src/daemon.ts
+++ b/node/daemon/src/daemon.ts
@@ -14,6 +14,7 @@
 import {Hono} from 'hono';
 import {createAnnouncementApi} from './announcement-api.js';
 import {BackendServerWatch} from './backend-server-watch.js';
+import {createRoutingApi} from './routing-api.js';
 import {listenForHttp, listenForPeers} from './servers.js';
 
 /** What a daemon is given besides its settings. */
@@ -62,6 +63,7 @@
 	app.route('/', createAnnouncementApi(backendServer => {
 		watch.record(backendServer);
 	}));
+	app.route('/', createRoutingApi(cell.routing, cell.configuration));
 	app.route('/', createCallerApi(router));
 	const running = cell.run();
 	opts.log.write({event: 'node-started', ...member});
