--- a/node/daemon/src/daemon.ts
+++ b/node/daemon/src/daemon.ts
@@ -10,7 +10,6 @@
 import {PeerClient} from '@buckthornpoint/router/peer-client.js';
 import {registerRequestCalls} from '@buckthornpoint/router/peer-service.js';
 import {Router} from '@buckthornpoint/router/router.js';
-import type {Metrics} from '@buckthornpoint/metrics/metrics.js';
 import type {NodeSettings} from '@buckthornpoint/settings/settings.js';
 import {HttpTableStore} from '@buckthornpoint/table-store/http-table-store.js';
 import type {Member} from '@buckthornpoint/types/membership.js';
