perf: measure what each hop costs, in one run

Cause: the target of 18 ms through two nodes had no figure. Change: buckthornpoint-load hops starts two nodes, a backend server and two senders as processes of their own.

--- /dev/null
+++ b/tools/load/src/hops-settings.ts
@@ -0,0 +1,38 @@
+import {decodeDocument, expectNumber} from '@buckthornpoint/documents/decoders.js';
+import {parseDocument} from '@buckthornpoint/documents/documents.js';
+import {expectField, expectObject} from '@buckthornpoint/documents/objects.js';
+import type {Finding} from '@buckthornpoint/errors/findings.js';
+import type {Result} from 'neverthrow';
+
+/** The settings of the benchmark of hops. */
+export type HopsSettings = {
+	readonly seed: number;
+	/** Slots of the backend server. */
+	readonly slots: number;
+	/** Time that a request takes at the backend server, in milliseconds. */
+	readonly serviceTimeMs: number;
+	/** Processes that send the load. */
+	readonly senders: number;
+	/** Calls that all senders together keep running to find saturation. */
+	readonly concurrency: number;
+	readonly warmUpMs: number;
+	readonly saturationMs: number;
+	/** Duration of the open load at half of the saturation of the way through two nodes. */
+	readonly latencyMs: number;
+};
+
+const maxMs = 120_000;
+
+/** Decodes the settings from JSON with comments. */
+export function parseHopsSettings(text: string, file: string): Result<HopsSettings, readonly Finding[]> {
+	return parseDocument(text, file).andThen(document => decodeDocument(document, expectObject<HopsSettings>({
+		seed: expectField(expectNumber({min: 0, max: 1_000_000})),
+		slots: expectField(expectNumber({min: 1, max: 1000})),
+		serviceTimeMs: expectField(expectNumber({min: 0, max: maxMs})),
+		senders: expectField(expectNumber({min: 1, max: 8})),
+		concurrency: expectField(expectNumber({min: 1, max: 1000})),
+		warmUpMs: expectField(expectNumber({min: 0, max: maxMs})),
+		saturationMs: expectField(expectNumber({min: 1, max: maxMs})),
+		latencyMs: expectField(expectNumber({min: 1, max: maxMs})),
+	})));
+}
--- /dev/null
+++ b/tools/load/src/hops.ts
@@ -0,0 +1,188 @@
+import process from 'node:process';
+import type {Clock} from '@buckthornpoint/clock/clock.js';
+import {TableService} from '@buckthornpoint/table-service/table-service.js';
+import Table from 'cli-table3';
+import {request} from 'undici';
+import {MeasuredProcess} from './child-process.js';
+import {createNodeSettings, writeConfiguration} from './deployment.js';
+import {createConfiguration, type DeploymentPlan} from './deployments.js';
+import type {HopsSettings} from './hops-settings.js';
+import {measurePercentile} from './percentile.js';
+
+const pollMs = 50;
+const setupDeadlineMs = 20_000;
+const statusOk = 200;
+const msPerSecond = 1000;
+const service = {
+	name: 'sklad', divided: true, size: 1, lookupPath: '/lots',
+} as const;
+const plan: DeploymentPlan = {
+	tenant: 'medoplech', cell: 'sk-east-1', maxConnections: 110, services: [service],
+};
+
+/** What one way to the backend server bears. */
+export type HopResult = {
+	readonly way: string;
+	/** Answers a second when the senders keep `concurrency` calls running. */
+	readonly saturationPerSecond: number;
+	/** Rate of the open load, in calls a second. */
+	readonly ratePerSecond: number;
+	readonly p50Ms: number;
+	readonly p99Ms: number;
+	readonly failures: number;
+	/** Processor time of all nodes for each request of the open load, in milliseconds. */
+	readonly nodeCpuMs: number;
+};
+
+type Bench = {
+	readonly tableService: TableService;
+	/** The node at which calls enter on the way through two nodes. */
+	readonly entry: MeasuredProcess;
+	/** The node beside the backend server. */
+	readonly owner: MeasuredProcess;
+	readonly backendServer: MeasuredProcess;
+	readonly senders: readonly MeasuredProcess[];
+};
+
+/** Measures the ways direct, through one node and through two nodes, in one run. */
+export async function runHops(clock: Clock, settings: HopsSettings): Promise<readonly HopResult[]> {
+	const bench = await startBench(clock, settings);
+	try {
+		await waitUntilServed(bench, clock);
+		const ways = [
+			{way: 'direct', origin: bench.backendServer.backendOrigin},
+			{way: 'one node', origin: bench.owner.callerOrigin},
+			{way: 'two nodes', origin: bench.entry.callerOrigin},
+		];
+		const saturations = new Map<string, number>();
+		for (const {way, origin} of ways) {
+			await sendFromAll(bench, settings, {origin, durationMs: settings.warmUpMs, ratePerSecond: 0});
+			const {latencies} = await sendFromAll(bench, settings, {origin, durationMs: settings.saturationMs, ratePerSecond: 0});
+			saturations.set(way, latencies.length * msPerSecond / settings.saturationMs);
+		}
+
+		const ratePerSecond = (saturations.get('two nodes') ?? 0) / 2;
+		const results: HopResult[] = [];
+		for (const {way, origin} of ways) {
+			results.push(await measureWay(bench, settings, {
+				way, origin, ratePerSecond, saturationPerSecond: saturations.get(way) ?? 0,
+			}));
+		}
+
+		return results;
+	} finally {
+		await closeBench(bench);
+	}
+}
+
+/** Prints the results with their ratios to the direct way. */
+export function printHops(results: readonly HopResult[]): void {
+	const table = new Table({head: ['way', 'saturation/s', 'ratio', 'rate/s', 'p50 ms', 'ratio', 'p99 ms', 'ratio', 'node CPU ms/request', 'failures'], style: {head: [], border: []}});
+	const [direct] = results;
+	for (const result of results) {
+		const divide = (value: number, by: number | undefined): string => by === undefined || by === 0 ? '-' : (value / by).toFixed(2);
+		table.push([
+			result.way,
+			result.saturationPerSecond.toFixed(0),
+			divide(result.saturationPerSecond, direct?.saturationPerSecond),
+			result.ratePerSecond.toFixed(0),
+			result.p50Ms.toFixed(2),
+			divide(result.p50Ms, direct?.p50Ms),
+			result.p99Ms.toFixed(2),
+			divide(result.p99Ms, direct?.p99Ms),
+			result.nodeCpuMs.toFixed(3),
+			String(result.failures),
+		]);
+	}
+
+	process.stdout.write(`${table.toString()}\n`);
+}
+
+async function startBench(clock: Clock, settings: HopsSettings): Promise<Bench> {
+	const tableService = new TableService(clock);
+	const tableStore = await tableService.open();
+	await writeConfiguration(tableStore, createConfiguration(plan));
+	const bench: Bench = {
+		tableService,
+		entry: new MeasuredProcess(),
+		owner: new MeasuredProcess(),
+		backendServer: new MeasuredProcess(),
+		senders: Array.from({length: settings.senders}, () => new MeasuredProcess()),
+	};
+	await Promise.all([bench.entry.open({node: createNodeSettings(plan, 0, tableStore)}), bench.owner.open({node: createNodeSettings(plan, 1, tableStore)})]);
+	await bench.backendServer.open({
+		backendServer: {
+			...settings,
+			name: 'sklad-1',
+			service: service.name,
+			checksFence: false,
+			incarnation: '1',
+			nodeOrigin: bench.owner.callerOrigin,
+			announceIntervalMs: 500,
+		},
+	});
+	return bench;
+}
+
+async function closeBench(bench: Bench): Promise<void> {
+	await Promise.all([...bench.senders, bench.entry, bench.owner, bench.backendServer].map(async measured => measured.close()));
+	await bench.tableService.close();
+}
+
+async function waitUntilServed(bench: Bench, clock: Clock): Promise<void> {
+	const startMs = clock.readMoment().monotonicMs;
+	for (let key = 0; key < plan.services.length * 64; key++) {
+		while (!await probe(bench.entry.callerOrigin, `probe-${key}`)) {
+			if (clock.readMoment().monotonicMs - startMs > setupDeadlineMs) {
+				throw new Error('the service did not answer in time after the start');
+			}
+
+			await clock.sleep(pollMs);
+		}
+	}
+}
+
+async function probe(origin: string, key: string): Promise<boolean> {
+	const response = await request(`${origin}${service.lookupPath}`, {method: 'POST', body: key, headers: {'buckthornpoint-service': service.name, 'buckthornpoint-key': key}});
+	await response.body.dump();
+	return response.statusCode === statusOk;
+}
+
+type SendOpts = {
+	readonly origin: string;
+	readonly durationMs: number;
+	/** 0 for a closed load. */
+	readonly ratePerSecond: number;
+};
+
+type SendResult = {
+	readonly latencies: readonly number[];
+	readonly failures: number;
+};
+
+async function sendFromAll({senders}: Bench, settings: HopsSettings, opts: SendOpts): Promise<SendResult> {
+	const concurrency = opts.ratePerSecond === 0 ? Math.ceil(settings.concurrency / senders.length) : 0;
+	const reports = await Promise.all(senders.map(async (sender, index) => sender.sendLoad({
+		...opts, service, seed: settings.seed + index, concurrency, ratePerSecond: opts.ratePerSecond / senders.length,
+	})));
+	return {
+		latencies: reports.flatMap(({latencies}) => latencies ?? []),
+		failures: reports.reduce((sum, {failures}) => sum + (failures ?? 0), 0),
+	};
+}
+
+type WayOpts = Pick<HopResult, 'way' | 'ratePerSecond' | 'saturationPerSecond'> & {readonly origin: string};
+
+async function measureWay(bench: Bench, settings: HopsSettings, {origin, ...way}: WayOpts): Promise<HopResult> {
+	const before = await measureNodes(bench);
+	const {latencies, failures} = await sendFromAll(bench, settings, {origin, durationMs: settings.latencyMs, ratePerSecond: way.ratePerSecond});
+	const after = await measureNodes(bench);
+	return {
+		...way, p50Ms: measurePercentile(latencies, 50), p99Ms: measurePercentile(latencies, 99), failures, nodeCpuMs: (after - before) / Math.max(1, latencies.length + failures),
+	};
+}
+
+async function measureNodes({entry, owner}: Bench): Promise<number> {
+	const uses = await Promise.all([entry.measureUse(), owner.measureUse()]);
+	return uses.reduce((sum, {cpuMs}) => sum + cpuMs, 0);
+}
--- a/tools/load/src/main.ts
+++ b/tools/load/src/main.ts
@@ -3,6 +3,9 @@
 import {SystemClock} from '@buckthornpoint/clock/system-clock.js';
 import yargs from 'yargs';
 import {runDemo} from './demo.js';
+import {parseHopsSettings} from './hops-settings.js';
+import {printHops, runHops} from './hops.js';
+import {readSettings} from './read-settings.js';
 
 const firstArgument = 2;
 const clock = new SystemClock();
@@ -20,6 +23,11 @@
 		});
 		process.exitCode = isWell ? 0 : 1;
 	})
+	.command('hops', 'Measures the ways direct, through one node and through two nodes', {
+		settings: {type: 'string', default: 'tools/load/experiments/hops.jsonc', describe: 'File of settings'},
+	}, async values => {
+		printHops(await runHops(clock, await readSettings(String(values.settings), parseHopsSettings)));
+	})
 	.demandCommand(1, 'Name a command.')
 	.strict()
 	.help()
