--- a/node/daemon/src/daemon.ts
+++ b/node/daemon/src/daemon.ts
@@ -4,7 +4,7 @@
 import {createSystemRandom} from '@buckthornpoint/clock/system-random.js';
 import {Guard} from '@buckthornpoint/guard/guard.js';
 import type {Log} from '@buckthornpoint/log/log.js';
-import {SilentMetrics} from '@buckthornpoint/metrics/metrics.js';
+import {SilentMetrics, type Metrics} from '@buckthornpoint/metrics/metrics.js';
 import {createAskOutcome} from '@buckthornpoint/router/ask-outcome.js';
 import {createCallerApi} from '@buckthornpoint/router/caller-api.js';
 import {PeerClient} from '@buckthornpoint/router/peer-client.js';
@@ -39,19 +39,20 @@
 
 /** Starts a node. */
 export async function startDaemon(settings: NodeSettings, opts: DaemonOpts): Promise<Daemon> {
+	const {clock, log, metrics = new SilentMetrics()} = opts;
 	const app = new Hono();
 	const peerServer = await listenForPeers(settings.peer);
 	const callerServer = await listenForHttp(app, settings.caller);
 	const member = createMember(settings, callerServer.port, peerServer.port);
 	const store = new HttpTableStore(settings.tableStore);
 	const cell = new CellTask({
-		cell: settings.cell, member, store, clock: opts.clock, log: opts.log,
+		cell: settings.cell, member, store, clock, log,
 	});
 	const peers = new PeerClient();
 	const guard = new Guard({
-		clock: opts.clock,
+		clock,
 		random: createSystemRandom(),
-		metrics: new SilentMetrics(),
+		metrics,
 		ownership: cell.ownership,
 		backendServer: cell.backendServer,
 		configuration: cell.configuration,
@@ -66,7 +67,7 @@
 	peerServer.serve(connectRouter => {
 		registerRequestCalls(connectRouter, guard);
 	});
-	const watch = new BackendServerWatch(opts.clock, {
+	const watch = new BackendServerWatch(clock, {
 		announce(backendServer) {
 			cell.announce(backendServer);
 		},
@@ -80,7 +81,7 @@
 	app.route('/', createRoutingApi(cell.routing, cell.configuration));
 	app.route('/', createCallerApi(router));
 	const running = cell.run();
-	opts.log.write({event: 'node-started', ...member});
+	log.write({event: 'node-started', ...member});
 	const close = async () => {
 		watch.close();
 		await cell.close();
@@ -89,7 +90,7 @@
 		await peerServer.close();
 		await guard.close();
 		await store.close();
-		opts.log.write({event: 'node-stopped', vmId: member.vmId});
+		log.write({event: 'node-stopped', vmId: member.vmId});
 	};
 
 	return {
