--- a/node/daemon/src/announcement-api.ts
+++ b/node/daemon/src/announcement-api.ts
@@ -1,27 +1,60 @@
+import type {HttpBindings} from '@hono/node-server';
+import {toResult} from '@buckthornpoint/documents/either.js';
 import type {BackendServer} from '@buckthornpoint/types/membership.js';
-import {Hono} from 'hono';
+import {Hono, type Context} from 'hono';
 import {
 	boolean, Codec, number, string,
 } from 'purify-ts';
 
 const statusInvalid = 400;
+const statusForbidden = 403;
+const loopbackAddresses = /^(?:127\.|::1$|::ffff:127\.)/v;
 
 const announcementCodec = Codec.interface({
 	name: string, service: string, origin: string, slots: number, checksFence: boolean, incarnation: string, leaving: boolean,
 });
 
-/** Creates the HTTP interface on which the backend server beside the node announces itself. */
-export function createAnnouncementApi(announce: (backendServer: BackendServer) => void): Hono {
-	const app = new Hono();
+type Environment = {Bindings: HttpBindings};
+
+/** Creates the HTTP interface on which the backend server beside the node announces itself. Only this VM may. */
+export function createAnnouncementApi(record: (backendServer: BackendServer) => void): Hono<Environment> {
+	const app = new Hono<Environment>();
 	app.post('/v1/announcements', async context => {
-		const decoded = announcementCodec.decode(await context.req.json());
-		return decoded
-			.map(backendServer => {
-				announce(backendServer);
-				return context.json({});
-			})
-			.mapLeft(message => context.json({code: 'ERR_DOCUMENT_TYPE', message}, statusInvalid))
-			.extract();
+		if (!isFromThisVm(context)) {
+			return context.json({code: 'ERR_NOT_AUTHORISED', message: 'announcements are accepted from this VM only'}, statusForbidden);
+		}
+
+		const decoded = toResult(announcementCodec.decode(await readJson(context)));
+		const faults = decoded.isOk() ? listFaults(decoded.value) : [decoded.error];
+		if (decoded.isErr() || faults.length > 0) {
+			return context.json({code: 'ERR_DOCUMENT_TYPE', message: faults.join('; ')}, statusInvalid);
+		}
+
+		record(decoded.value);
+		return context.json({});
 	});
 	return app;
 }
+
+async function readJson(context: Context<Environment>): Promise<unknown> {
+	try {
+		return await context.req.json();
+	} catch {
+		return undefined;
+	}
+}
+
+function listFaults(backendServer: BackendServer): readonly string[] {
+	return [
+		...(backendServer.name === '' ? ['name is empty'] : []),
+		...(backendServer.service === '' ? ['service is empty'] : []),
+		...(URL.canParse(backendServer.origin) ? [] : [`origin is not a URL: ${backendServer.origin}`]),
+		...(Number.isInteger(backendServer.slots) && backendServer.slots > 0 ? [] : [`slots is not a positive whole number: ${backendServer.slots}`]),
+		...(backendServer.incarnation === '' ? ['incarnation is empty'] : []),
+	];
+}
+
+function isFromThisVm(context: Context<Environment>): boolean {
+	const {remoteAddress, localAddress} = context.env.incoming.socket;
+	return remoteAddress !== undefined && (loopbackAddresses.test(remoteAddress) || remoteAddress === localAddress);
+}
