--- a/cli/buckthornpoint/test/run-command-line.test.ts
+++ b/cli/buckthornpoint/test/run-command-line.test.ts
@@ -62,8 +62,12 @@
 		clock: new SkippingClock(),
 		// eslint-disable-next-line @typescript-eslint/naming-convention -- names of environment variables
 		env: {BUCKTHORNPOINT_NODES: nodes.join(','), BUCKTHORNPOINT_OPERATOR_KEY: 'operator-key-of-this-test', USER: 'anna'},
-		print: text => out.push(text),
-		report: text => error.push(text),
+		print(text) {
+			out.push(text);
+		},
+		report(text) {
+			error.push(text);
+		},
 		readFile: async () => '{}',
 		drawId: () => 'change-1',
 		signal: new AbortController().signal,
