feat: compare the policy with a naive router in one command

Cause: whether the policy is worth its cost shows only against the plain way under the same load and fault. Change: buckthornpoint-load experiment FILE starts a process for each VM, runs each seed and load with the policy and the naive router, and writes JSON and an SVG plot; settings for stragglers, cold starts, overload, a failure domain and a hot key.

--- /dev/null
+++ b/tools/load/src/experiment-cluster.ts
@@ -0,0 +1,150 @@
+import type {BackendServerFaults} from '@buckthornpoint/backend-server/faults.js';
+import type {BackendServerCounts} from '@buckthornpoint/backend-server/run-log.js';
+import type {Clock} from '@buckthornpoint/clock/clock.js';
+import {TableService} from '@buckthornpoint/table-service/table-service.js';
+import type {Configuration} from '@buckthornpoint/types/configuration.js';
+import {request} from 'undici';
+import {MeasuredProcess} from './child-process.js';
+import {createNodeSettings, writeConfiguration} from './deployment.js';
+import {createConfiguration, pickFailureDomain, type DeploymentPlan} from './deployments.js';
+import type {ExperimentSettings} from './experiment-settings.js';
+
+const requestsPerWarmStep = 20;
+const coldSlowdown = 10;
+const pollMs = 50;
+const setupDeadlineMs = 20_000;
+const statusOk = 200;
+const probes = 64;
+
+/** Name and path of the service that experiments use. */
+export const experimentService = {
+	name: 'rezervacie', lookupPath: '/grades',
+} as const;
+
+/** The VMs of one step of an experiment, each a process with a node and a backend server. */
+export class ExperimentCluster {
+	readonly #clock: Clock;
+	readonly #settings: ExperimentSettings;
+	readonly #tableService: TableService;
+	readonly #vms: readonly MeasuredProcess[];
+	#configuration: Configuration;
+	#tableStore = '';
+
+	constructor(clock: Clock, settings: ExperimentSettings) {
+		this.#clock = clock;
+		this.#settings = settings;
+		this.#tableService = new TableService(clock);
+		this.#vms = Array.from({length: settings.size}, () => new MeasuredProcess());
+		this.#configuration = createConfiguration(createPlan(settings));
+	}
+
+	/** Origins of the nodes. */
+	get callerOrigins(): readonly string[] {
+		return this.#vms.map(({callerOrigin}) => callerOrigin);
+	}
+
+	/** Origins of the backend servers. */
+	get backendOrigins(): readonly string[] {
+		return this.#vms.map(({backendOrigin}) => backendOrigin);
+	}
+
+	/** Starts all processes and waits until the service answers through every node. */
+	async open(seed: number): Promise<void> {
+		this.#tableStore = await this.#tableService.open();
+		await writeConfiguration(this.#tableStore, this.#configuration);
+		const {slots, serviceTimeMs, coldConcurrency} = this.#settings;
+		await Promise.all(this.#vms.map(async (vm, index) => vm.open({
+			node: createNodeSettings(createPlan(this.#settings), index, this.#tableStore),
+			backendServer: {
+				name: `rezervacie-${index + 1}`,
+				service: experimentService.name,
+				slots,
+				checksFence: false,
+				incarnation: `${index + 1}/1`,
+				nodeOrigin: '',
+				serviceTimeMs,
+				announceIntervalMs: 500,
+				seed: seed + index,
+				coldStart: coldConcurrency === 0 ? undefined : {concurrency: coldConcurrency, requestsPerStep: requestsPerWarmStep, slowdown: coldSlowdown},
+			},
+		})));
+		await this.#waitUntilServed();
+	}
+
+	/** Stops all processes. */
+	async close(): Promise<void> {
+		await Promise.all(this.#vms.map(async vm => vm.close()));
+		await this.#tableService.close();
+	}
+
+	/** Returns what each backend server counted since its start. */
+	async readCounts(): Promise<readonly BackendServerCounts[]> {
+		return Promise.all(this.backendOrigins.map(async origin => {
+			const response = await request(`${origin}/buckthornpoint/counts`);
+			return await response.body.json() as BackendServerCounts; // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion
+		}));
+	}
+
+	/** Changes the faults of a backend server. */
+	async setFaults(index: number, faults: Partial<BackendServerFaults>): Promise<void> {
+		await this.#sendOrder('PUT', index, 'faults', faults);
+	}
+
+	/** Makes a backend server cold: `restart` with a new incarnation, `cold` without telling anybody. */
+	async setCold(index: number, how: 'restart' | 'cold'): Promise<void> {
+		await this.#sendOrder('POST', index, how, {});
+	}
+
+	/** Takes a failure domain out of service, or back, by a new configuration. */
+	async setFailureDomain(name: string, out: boolean): Promise<void> {
+		this.#configuration = {
+			...this.#configuration,
+			version: this.#configuration.version + 1,
+			failureDomains: this.#configuration.failureDomains.map(domain => domain.name === name ? {name, out} : domain),
+		};
+		await writeConfiguration(this.#tableStore, this.#configuration);
+	}
+
+	async #sendOrder(method: 'PUT' | 'POST', index: number, name: string, document: unknown): Promise<void> {
+		try {
+			const response = await request(`${this.backendOrigins[index] ?? ''}/buckthornpoint/${name}`, {
+				method, headers: {'content-type': 'application/json'}, body: JSON.stringify(document),
+			});
+			await response.body.dump();
+		} catch {
+			// A restart cuts the connection on which it was asked for.
+		}
+	}
+
+	async #waitUntilServed(): Promise<void> {
+		const startMs = this.#clock.readMoment().monotonicMs;
+		for (let probe = 0; probe < probes; probe++) {
+			while (!await probeNode(this.callerOrigins[probe % this.callerOrigins.length] ?? '', `probe-${probe}`)) {
+				if (this.#clock.readMoment().monotonicMs - startMs > setupDeadlineMs) {
+					throw new Error('the service did not answer in time after the start');
+				}
+
+				await this.#clock.sleep(pollMs);
+			}
+		}
+	}
+}
+
+/** Returns the indexes of the VMs of a failure domain. */
+export function listVmsOf(failureDomain: string, size: number): readonly number[] {
+	return Array.from({length: size}, (_, index) => index).filter(index => pickFailureDomain(index) === failureDomain);
+}
+
+function createPlan({divided, size}: ExperimentSettings): DeploymentPlan {
+	return {
+		tenant: 'medoplech', cell: 'sk-east-1', maxConnections: 110, services: [{...experimentService, divided, size}],
+	};
+}
+
+async function probeNode(origin: string, key: string): Promise<boolean> {
+	const response = await request(`${origin}${experimentService.lookupPath}`, {
+		method: 'POST', body: key, headers: {'buckthornpoint-service': experimentService.name, 'buckthornpoint-key': key},
+	});
+	await response.body.dump();
+	return response.statusCode === statusOk;
+}
--- a/tools/load/src/main.ts
+++ b/tools/load/src/main.ts
@@ -3,6 +3,9 @@
 import {SystemClock} from '@buckthornpoint/clock/system-clock.js';
 import yargs from 'yargs';
 import {runDemo} from './demo.js';
+import {printExperiment, printStep, writeExperiment} from './experiment-report.js';
+import {parseExperimentSettings} from './experiment-settings.js';
+import {runExperiment} from './experiment.js';
 import {parseHopsSettings} from './hops-settings.js';
 import {printHops, runHops} from './hops.js';
 import {readSettings} from './read-settings.js';
@@ -28,6 +31,14 @@
 	}, async values => {
 		printHops(await runHops(clock, await readSettings(String(values.settings), parseHopsSettings)));
 	})
+	.command('experiment <file>', 'Compares the policy with the naive router under a load and a fault', {
+		results: {type: 'string', default: 'tools/load/results', describe: 'Folder for the results as JSON and SVG'},
+	}, async values => {
+		const settings = await readSettings(String(values.file), parseExperimentSettings);
+		const steps = await runExperiment(clock, settings, printStep);
+		printExperiment(settings, steps);
+		await writeExperiment(String(values.results), settings, steps);
+	})
 	.demandCommand(1, 'Name a command.')
 	.strict()
 	.help()
--- /dev/null
+++ b/tools/load/src/naive-path.ts
@@ -0,0 +1,59 @@
+import type {Clock} from '@buckthornpoint/clock/clock.js';
+import type {RandomSource} from '@buckthornpoint/clock/random.js';
+import {Pool} from 'undici';
+import {
+	CallPath, exchange, type Call, type CallResult,
+} from './call.js';
+
+const maxAttempts = 4;
+
+/** What the naive router works with. */
+export type NaivePathOpts = {
+	readonly clock: Clock;
+	readonly random: RandomSource;
+	/** Origins of the backend servers. */
+	readonly origins: readonly string[];
+};
+
+/**
+ * The naive router that policies are compared with: any backend server, drawn anew for each attempt, up to four attempts
+ * at once after each other, no limits and no node between.
+ */
+export class NaivePath extends CallPath {
+	readonly #opts: NaivePathOpts;
+	readonly #pools: readonly Pool[];
+
+	constructor(opts: NaivePathOpts) {
+		super();
+		this.#opts = opts;
+		this.#pools = opts.origins.map(origin => new Pool(origin, {pipelining: 1}));
+	}
+
+	override async send(call: Call): Promise<CallResult> {
+		const startedMs = this.#opts.clock.readMoment().monotonicMs;
+		let result = await this.#sendOnce(call, call.deadlineMs);
+		let attempts = 1;
+		while (result.kind !== 'answer' && call.idempotent && attempts < maxAttempts) {
+			const remainingMs = call.deadlineMs - (this.#opts.clock.readMoment().monotonicMs - startedMs);
+			if (remainingMs <= 0) {
+				break;
+			}
+
+			result = await this.#sendOnce(call, remainingMs);
+			attempts++;
+		}
+
+		return {
+			...result, call, attempts, latencyMs: this.#opts.clock.readMoment().monotonicMs - startedMs,
+		};
+	}
+
+	override async close(): Promise<void> {
+		await Promise.all(this.#pools.map(async pool => pool.destroy()));
+	}
+
+	async #sendOnce(call: Call, remainingMs: number): Promise<CallResult> {
+		const pool = this.#pools[this.#opts.random.drawBelow(this.#pools.length)];
+		return exchange(this.#opts.clock, pool, {...call, deadlineMs: Math.ceil(remainingMs)});
+	}
+}
