--- a/node/daemon/src/daemon.ts
+++ b/node/daemon/src/daemon.ts
@@ -4,7 +4,7 @@
 import {createSystemRandom} from '@buckthornpoint/clock/system-random.js';
 import {Guard} from '@buckthornpoint/guard/guard.js';
 import type {Log} from '@buckthornpoint/log/log.js';
-import {SilentMetrics} from '@buckthornpoint/metrics/metrics.js';
+import {SilentMetrics, type Metrics} from '@buckthornpoint/metrics/metrics.js';
 import {createAskOutcome} from '@buckthornpoint/router/ask-outcome.js';
 import {createCallerApi} from '@buckthornpoint/router/caller-api.js';
 import {PeerClient} from '@buckthornpoint/router/peer-client.js';
@@ -15,6 +15,7 @@
 import type {Member} from '@buckthornpoint/types/membership.js';
 import {Hono} from 'hono';
 import {createAnnouncementApi} from './announcement-api.js';
+import {BackendServerWatch} from './backend-server-watch.js';
 import {createRoutingApi} from './routing-api.js';
 import {listenForHttp, listenForPeers} from './servers.js';
 
@@ -22,31 +23,36 @@
 export type DaemonOpts = {
 	readonly clock: Clock;
 	readonly log: Log;
+	/** By default no values are sent. */
+	readonly metrics?: Metrics;
 };
 
 /** A node that runs. */
 export type Daemon = {
 	readonly callerOrigin: string;
 	readonly peerOrigin: string;
-	/** Stops the node and gives up all that it holds. */
+	/** Stops as planned: hands over what the node owns, finishes what runs, then closes. */
+	stop(): Promise<void>;
+	/** Stops at once and gives up all that the node holds. */
 	close(): Promise<void>;
 };
 
 /** Starts a node. */
 export async function startDaemon(settings: NodeSettings, opts: DaemonOpts): Promise<Daemon> {
+	const {clock, log, metrics = new SilentMetrics()} = opts;
 	const app = new Hono();
 	const peerServer = await listenForPeers(settings.peer);
 	const callerServer = await listenForHttp(app, settings.caller);
 	const member = createMember(settings, callerServer.port, peerServer.port);
 	const store = new HttpTableStore(settings.tableStore);
 	const cell = new CellTask({
-		cell: settings.cell, member, store, clock: opts.clock, log: opts.log,
+		cell: settings.cell, member, store, clock, log,
 	});
 	const peers = new PeerClient();
 	const guard = new Guard({
-		clock: opts.clock,
+		clock,
 		random: createSystemRandom(),
-		metrics: new SilentMetrics(),
+		metrics,
 		ownership: cell.ownership,
 		backendServer: cell.backendServer,
 		configuration: cell.configuration,
@@ -61,25 +67,34 @@
 	peerServer.serve(connectRouter => {
 		registerRequestCalls(connectRouter, guard);
 	});
+	const watch = new BackendServerWatch(clock, {
+		announce(backendServer) {
+			cell.announce(backendServer);
+		},
+		noteSilence() {
+			// The naive cell keeps a silent backend server.
+		},
+	});
 	app.route('/', createAnnouncementApi(backendServer => {
-		cell.announce(backendServer);
+		watch.record(backendServer);
 	}));
 	app.route('/', createRoutingApi(cell.routing, cell.configuration));
 	app.route('/', createCallerApi(router));
 	const running = cell.run();
-	opts.log.write({event: 'node-started', ...member});
+	log.write({event: 'node-started', ...member});
+	const close = async () => {
+		watch.close();
+		await cell.close();
+		await running;
+		await callerServer.close();
+		await peerServer.close();
+		await guard.close();
+		await store.close();
+		log.write({event: 'node-stopped', vmId: member.vmId});
+	};
+
 	return {
-		callerOrigin: member.callerOrigin,
-		peerOrigin: member.peerOrigin,
-		async close() {
-			await cell.close();
-			await running;
-			await callerServer.close();
-			await peerServer.close();
-			await guard.close();
-			await store.close();
-			opts.log.write({event: 'node-stopped', vmId: member.vmId});
-		},
+		callerOrigin: member.callerOrigin, peerOrigin: member.peerOrigin, stop: close, close,
 	};
 }
 
