feat: run every node on leases, grants and fences

Cause: the nodes took part by a row each and believed to own what a hash said. Change: the daemon creates the machine of the core and runs it by CellTask, serves the Deliver call beside the request calls, tells the machine of drained partitions, of silence and of the guard's load, and hands over on a planned stop. The naive registration is gone.

--- a/node/daemon/src/daemon.ts
+++ b/node/daemon/src/daemon.ts
@@ -1,10 +1,13 @@
 import {randomUUID} from 'node:crypto';
-import {CellTask} from '@buckthornpoint/cell/naive-cell-task.js';
+import {registerCellCalls} from '@buckthornpoint/cell/cell-calls.js';
+import {CellTask} from '@buckthornpoint/cell/cell-task.js';
 import type {Clock} from '@buckthornpoint/clock/clock.js';
 import {createSystemRandom} from '@buckthornpoint/clock/system-random.js';
 import {Guard} from '@buckthornpoint/guard/guard.js';
 import type {Log} from '@buckthornpoint/log/log.js';
 import {SilentMetrics, type Metrics} from '@buckthornpoint/metrics/metrics.js';
+import {createCellMachine} from '@buckthornpoint/ownership/create-cell-machine.js';
+import {defaultTiming, type CellTiming} from '@buckthornpoint/ownership/timing.js';
 import {createAskOutcome} from '@buckthornpoint/router/ask-outcome.js';
 import {createCallerApi} from '@buckthornpoint/router/caller-api.js';
 import {PeerClient} from '@buckthornpoint/router/peer-client.js';
@@ -12,10 +15,12 @@
 import {Router} from '@buckthornpoint/router/router.js';
 import type {NodeSettings} from '@buckthornpoint/settings/settings.js';
 import {HttpTableStore} from '@buckthornpoint/table-store/http-table-store.js';
+import {emptyConfiguration} from '@buckthornpoint/types/configuration.js';
 import type {Member} from '@buckthornpoint/types/membership.js';
 import {Hono} from 'hono';
 import {createAnnouncementApi} from './announcement-api.js';
 import {BackendServerWatch} from './backend-server-watch.js';
+import {reportLoad} from './load-reports.js';
 import {createRoutingApi} from './routing-api.js';
 import {listenForHttp, listenForPeers} from './servers.js';
 
@@ -25,6 +30,8 @@
 	readonly log: Log;
 	/** By default no values are sent. */
 	readonly metrics?: Metrics;
+	/** The same on all nodes of a cell; by default `defaultTiming`. */
+	readonly timing?: CellTiming;
 };
 
 /** A node that runs. */
@@ -45,20 +52,32 @@
 	const callerServer = await listenForHttp(app, settings.caller);
 	const member = createMember(settings, callerServer.port, peerServer.port);
 	const store = new HttpTableStore(settings.tableStore);
+	const random = createSystemRandom();
+	const timing = opts.timing ?? defaultTiming;
 	const cell = new CellTask({
-		cell: settings.cell, member, store, clock, log,
+		cell: settings.cell,
+		member,
+		store,
+		clock,
+		random,
+		log,
+		metrics,
+		timing,
+		machine: createCellMachine({
+			cell: settings.cell, member, timing, configuration: emptyConfiguration,
+		}),
 	});
 	const peers = new PeerClient();
 	const guard = new Guard({
 		clock,
-		random: createSystemRandom(),
+		random,
 		metrics,
 		ownership: cell.ownership,
 		backendServer: cell.backendServer,
 		configuration: cell.configuration,
 		askOutcome: createAskOutcome(peers, cell.routing),
-		onDrained() {
-			// The cell hands nothing over yet.
+		onDrained(partition) {
+			cell.noteDrained(partition);
 		},
 	});
 	const router = new Router({
@@ -66,13 +85,14 @@
 	});
 	peerServer.serve(connectRouter => {
 		registerRequestCalls(connectRouter, guard);
+		registerCellCalls(connectRouter, cell);
 	});
 	const watch = new BackendServerWatch(clock, {
 		announce(backendServer) {
 			cell.announce(backendServer);
 		},
 		noteSilence() {
-			// The naive cell keeps a silent backend server.
+			cell.noteSilence();
 		},
 	});
 	app.route('/', createAnnouncementApi(backendServer => {
@@ -80,12 +100,20 @@
 	}));
 	app.route('/', createRoutingApi(cell.routing, cell.configuration));
 	app.route('/', createCallerApi(router));
+	const closed = new AbortController();
+	const reporting = reportLoad(clock, {
+		measure: () => guard.measureLoad(),
+		note(load) {
+			cell.noteLoad(load);
+		},
+	}, closed.signal);
 	const running = cell.run();
 	log.write({event: 'node-started', ...member});
 	const close = async () => {
 		watch.close();
+		closed.abort();
 		await cell.close();
-		await running;
+		await Promise.all([running, reporting]);
 		await callerServer.close();
 		await peerServer.close();
 		await guard.close();
@@ -93,8 +121,14 @@
 		log.write({event: 'node-stopped', vmId: member.vmId});
 	};
 
+	const stop = async () => {
+		log.write({event: 'node-stopping', vmId: member.vmId});
+		await cell.requestStop();
+		await close();
+	};
+
 	return {
-		callerOrigin: member.callerOrigin, peerOrigin: member.peerOrigin, stop: close, close,
+		callerOrigin: member.callerOrigin, peerOrigin: member.peerOrigin, stop, close,
 	};
 }
 
