feat: serve the operators' interface on every node and let open connections finish at a planned stop

Cause: the operators' interface existed but no node served it, and a planned stop closed connections with requests on them. Change: the daemon mounts the interface; at a planned stop answers ask callers to use another connection, idle connections close, and those with requests get 10 s to finish.

--- a/node/daemon/src/daemon.ts
+++ b/node/daemon/src/daemon.ts
@@ -8,6 +8,7 @@
 import {SilentMetrics, type Metrics} from '@buckthornpoint/metrics/metrics.js';
 import {createCellMachine} from '@buckthornpoint/ownership/create-cell-machine.js';
 import {defaultTiming, type CellTiming} from '@buckthornpoint/ownership/timing.js';
+import {createOperatorApi} from '@buckthornpoint/operator-api/operator-api.js';
 import {createAskOutcome} from '@buckthornpoint/router/ask-outcome.js';
 import {createCallerApi} from '@buckthornpoint/router/caller-api.js';
 import {PeerClient} from '@buckthornpoint/router/peer-client.js';
@@ -22,8 +23,11 @@
 import {BackendServerWatch} from './backend-server-watch.js';
 import {reportLoad} from './load-reports.js';
 import {createRoutingApi} from './routing-api.js';
+import {createConnectionClosing} from './connection-closing.js';
 import {listenForHttp, listenForPeers} from './servers.js';
 
+const drainGraceMs = 10_000;
+
 /** What a daemon is given besides its settings. */
 export type DaemonOpts = {
 	readonly clock: Clock;
@@ -48,6 +52,7 @@
 export async function startDaemon(settings: NodeSettings, opts: DaemonOpts): Promise<Daemon> {
 	const {clock, log, metrics = new SilentMetrics()} = opts;
 	const app = new Hono();
+	const stopping = new AbortController();
 	const peerServer = await listenForPeers(settings.peer);
 	const callerServer = await listenForHttp(app, settings.caller);
 	const member = createMember(settings, callerServer.port, peerServer.port);
@@ -95,9 +100,23 @@
 			cell.noteSilence();
 		},
 	});
+	app.use(createConnectionClosing(stopping.signal));
 	app.route('/', createAnnouncementApi(backendServer => {
 		watch.record(backendServer);
 	}));
+	app.route('/', createOperatorApi({
+		operatorKey: settings.operatorKey,
+		store,
+		clock,
+		log,
+		configuration: cell.configuration,
+		routing: cell.routing,
+		ownership: cell.ownership,
+		readStatus: () => cell.readStatus(),
+		learnConfiguration(configuration) {
+			cell.learnConfiguration(configuration);
+		},
+	}));
 	app.route('/', createRoutingApi(cell.routing, cell.configuration));
 	app.route('/', createCallerApi(router));
 	const closed = new AbortController();
@@ -123,7 +142,9 @@
 
 	const stop = async () => {
 		log.write({event: 'node-stopping', vmId: member.vmId});
+		stopping.abort();
 		await cell.requestStop();
+		await Promise.all([callerServer.drain(clock, drainGraceMs), peerServer.drain(clock, drainGraceMs)]);
 		await close();
 	};
 
--- a/node/daemon/src/main.ts
+++ b/node/daemon/src/main.ts
@@ -70,7 +70,6 @@
 	try {
 		const daemon = await startDaemon(settings, {clock: new SystemClock(), log, metrics});
 		await waitForStopSignal();
-		log.write({event: 'node-stopping', vmId: settings.vmId});
 		await daemon.stop();
 		return exitCodes.ok;
 	} catch (error) {
