feat: measure the slopes that the capacity page rests on

Cause: the two-year size is far past one machine; its figures have to be worked out from slopes. Change: buckthornpoint-load slopes measures the map, placement, lookups, the record of outcomes, control messages and idle cells at three sizes each, and prints the samples with their lines.

--- a/tools/load/src/child-process.ts
+++ b/tools/load/src/child-process.ts
@@ -37,7 +37,7 @@
 	/** Returns what the process used since it started. */
 	async measureUse(): Promise<ProcessUse> {
 		const {use} = await this.#ask({kind: 'measure'});
-		return use ?? {cpuMs: 0, residentBytes: 0};
+		return use ?? {cpuMs: 0, residentBytes: 0, ioBytes: 0};
 	}
 
 	/** Lets the process send a load. */
--- a/tools/load/src/main.ts
+++ b/tools/load/src/main.ts
@@ -9,6 +9,7 @@
 import {parseHopsSettings} from './hops-settings.js';
 import {printHops, runHops} from './hops.js';
 import {readSettings} from './read-settings.js';
+import {runSlopes} from './slopes.js';
 
 const firstArgument = 2;
 const clock = new SystemClock();
@@ -39,6 +40,7 @@
 		printExperiment(settings, steps);
 		await writeExperiment(String(values.results), settings, steps);
 	})
+	.command('slopes', 'Measures the slopes that docs/CAPACITY.md rests on', {}, async () => runSlopes(clock))
 	.demandCommand(1, 'Name a command.')
 	.strict()
 	.help()
--- a/tools/load/src/process-entry.ts
+++ b/tools/load/src/process-entry.ts
@@ -1,3 +1,4 @@
+import {readFileSync} from 'node:fs';
 import process from 'node:process';
 import {StandInBackendServer} from '@buckthornpoint/backend-server/backend-server.js';
 import {SeededRandom} from '@buckthornpoint/clock/seeded-random.js';
@@ -62,5 +63,11 @@
 
 function measure(): ProcessReport {
 	const {user, system} = process.cpuUsage();
-	return {use: {cpuMs: (user + system) / microsecondsPerMs, residentBytes: process.memoryUsage().rss}};
+	return {use: {cpuMs: (user + system) / microsecondsPerMs, residentBytes: process.memoryUsage().rss, ioBytes: readIoBytes()}};
+}
+
+function readIoBytes(): number {
+	const text = readFileSync('/proc/self/io', 'utf8');
+	const matches = text.matchAll(/[rw]char: (?<bytes>\d+)/gv);
+	return [...matches].reduce((sum, match) => sum + Number(match[1]), 0);
 }
--- a/tools/load/src/process-messages.ts
+++ b/tools/load/src/process-messages.ts
@@ -31,6 +31,8 @@
 export type ProcessUse = {
 	readonly cpuMs: number;
 	readonly residentBytes: number;
+	/** Bytes read and written by system calls, sockets included. */
+	readonly ioBytes: number;
 };
 
 /** The answer of a process to an order. */
--- /dev/null
+++ b/tools/load/src/slopes.ts
@@ -0,0 +1,47 @@
+import process from 'node:process';
+import type {Clock} from '@buckthornpoint/clock/clock.js';
+import Table from 'cli-table3';
+import {estimateLine} from './line.js';
+import {measureIdleCell} from './slopes-idle.js';
+import {
+	measureMap, measureMessages, measureOutcomes, type Sample,
+} from './slopes-samples.js';
+
+const partitionCounts = [1024, 4096, 16_384] as const;
+const memberCounts = [10, 20, 40] as const;
+const outcomeCounts = [20_000, 40_000, 80_000] as const;
+const cellSizes = [3, 6, 12] as const;
+const largestCell = 40;
+const mapPartitions = 4096;
+
+/** Measures every slope that docs/CAPACITY.md rests on and prints the samples with their lines. */
+export async function runSlopes(clock: Clock): Promise<void> {
+	// The first run of each is for the compiler alone.
+	measureMap(mapPartitions, largestCell);
+	measureOutcomes(outcomeCounts[0], clock);
+	printSeries('map by partitions, 40 members', partitionCounts.map(size => ({size, values: measureMap(size, largestCell)})));
+	printSeries('map by members, 4096 partitions', memberCounts.map(size => ({size, values: measureMap(mapPartitions, size)})));
+	printSeries('record of outcomes by requests', outcomeCounts.map(size => ({size, values: measureOutcomes(size, clock)})));
+	printSeries('control messages by members', memberCounts.map(size => ({size, values: measureMessages(size)})));
+	const cells: Sample[] = [];
+	for (const size of cellSizes) {
+		cells.push({size, values: await measureIdleCell(size, clock)});
+	}
+
+	printSeries('idle cell by nodes', cells);
+}
+
+function printSeries(name: string, samples: readonly Sample[]): void {
+	const table = new Table({head: [name, ...samples.map(({size}) => String(size)), 'at 0', 'for each more'], style: {head: [], border: []}});
+	for (const measure of Object.keys(samples[0]?.values ?? {})) {
+		const points = samples.map(({size, values}) => ({size, value: values[measure] ?? Number.NaN}));
+		const {intercept, slope} = estimateLine(points);
+		table.push([measure, ...[...points.map(({value}) => value), intercept, slope].map(value => formatNumber(value))]);
+	}
+
+	process.stdout.write(`${table.toString()}\n`);
+}
+
+function formatNumber(value: number): string {
+	return Math.abs(value) >= 1000 ? value.toFixed(0) : value.toPrecision(4);
+}
--- a/tools/load/test/experiment.test.ts
+++ b/tools/load/test/experiment.test.ts
@@ -29,7 +29,9 @@
 		seed: 1, loadPercent: 40, ratePerSecond: 1, before: window, during: window, after: window, mismatches: 0, attemptsPerCall: 1, coldOverruns: 0, lateWork: 0, imbalance: 1,
 	};
 	const steps: readonly StepResult[] = [{...base, router: 'policy'}, {...base, router: 'naive'}];
-	const settings = parseExperimentSettings('{"name": "x", "fault": "none", "seeds": [1], "size": 1, "slots": 1, "serviceTimeMs": 1, "loadPercents": [40], "deadlineMs": 1, "warmUpMs": 0, "durationMs": 1}', 'x');
+	const settings = parseExperimentSettings(JSON.stringify({
+		name: 'x', fault: 'none', seeds: [1], size: 1, slots: 1, serviceTimeMs: 1, loadPercents: [40], deadlineMs: 1, warmUpMs: 0, durationMs: 1,
+	}), 'x');
 	const svg = renderPlot(settings._unsafeUnwrap(), steps);
 	assert.ok(svg.startsWith('<svg') && svg.includes('policy p99') && svg.includes('naive p99'));
 });
