fix: keep the limit of a fast backend server when its answers vary by a few milliseconds

Cause: slowness was judged against the best mean latency however small; with 1 ms of work, the noise of the node itself drove the limit to 1. Change: a best latency under 5 ms counts as 5 ms. The new test fails without the bound. Conclusion: the limit follows the backend server, not the noise of the event loop.

--- a/core/admission/src/concurrency-limit.ts
+++ b/core/admission/src/concurrency-limit.ts
@@ -18,6 +18,7 @@
 const decreaseFactor = 0.9;
 const refusalFactor = 0.7;
 const minRefusalStepMs = 100;
+const minBaselineMs = 5;
 const baselineGrowthPerSecond = 0.02;
 const msPerSecond = 1000;
 
@@ -115,7 +116,7 @@
 		const growth = 1 + (baselineGrowthPerSecond * (nowMs - this.#baselineAtMs) / msPerSecond);
 		this.#baselineAtMs = nowMs;
 		this.#baselineMs = Math.min(this.#meanLatencyMs, (this.#baselineMs ?? Number.POSITIVE_INFINITY) * growth);
-		return Math.max(this.#baselineMs, 1);
+		return Math.max(this.#baselineMs, minBaselineMs);
 	}
 
 	#mayGrow(nowMs: number): boolean {
--- /dev/null
+++ b/core/admission/test/fast-server-limit.test.ts
@@ -0,0 +1,15 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {ManualClock} from '@buckthornpoint/clock/manual-clock.js';
+import {ConcurrencyLimit} from '../src/concurrency-limit.js';
+
+test('the limit of a backend server that answers within a few milliseconds does not fall because some answers take twice as long', () => {
+	const clock = new ManualClock();
+	const limit = new ConcurrencyLimit({slots: 18, coldConcurrency: 4}, clock.readMoment());
+	for (let answer = 0; answer < 2000; answer++) {
+		clock.advance(10);
+		limit.noteAnswer(answer % 40 < 20 ? 1.3 : 3, limit.getLimit(), clock.readMoment());
+	}
+
+	assert.equal(limit.getLimit(), 18);
+});
