perf: run each VM of the demo as a process of its own

Cause: 23 nodes and 23 backend servers in one event loop stalled each other; leases lapsed in a calm load. Change: the demo, its waves and the experiments start one process for each VM and read the counts over HTTP. Conclusion: the demo shows the router and not its own crowding.

--- a/tools/load/src/demo.ts
+++ b/tools/load/src/demo.ts
@@ -2,13 +2,16 @@
 import type {Clock} from '@buckthornpoint/clock/clock.js';
 import {SeededRandom} from '@buckthornpoint/clock/seeded-random.js';
 import Table from 'cli-table3';
+import {readCounts} from './backend-control.js';
 import {NodePath, type CallResult} from './call.js';
 import {createCall} from './calls.js';
 import {startDeployment, type Deployment} from './deployment.js';
 import {kartonpont, medoplech} from './deployments.js';
 import {sendOpenLoad} from './open-load.js';
 import {Tally} from './tally.js';
-import {isClean, judgeResults, measureImbalance} from './verdict.js';
+import {
+	isClean, judgeResults, measureImbalance, type Verdict,
+} from './verdict.js';
 import {sendWaves} from './waves.js';
 
 const connectionsPerNode = 8;
@@ -60,7 +63,7 @@
 async function runCalm(deployment: Deployment, clock: Clock, opts: DemoOpts): Promise<boolean> {
 	const random = new SeededRandom(opts.seed);
 	const path = createPath(deployment, clock);
-	const before = deployment.vms.map(({backendServer}) => backendServer.counts.started);
+	const before = await listStarted(deployment);
 	const results: CallResult[] = [];
 	const tallies = new Map(deployment.plan.services.map(({name}) => [name, new Tally()]));
 	await sendOpenLoad(path, {
@@ -72,9 +75,12 @@
 		},
 	}, clock, random);
 	await path.close();
-	const rows = [...tallies].map(([service, tally]) => createRow(service, tally, listStarted(deployment, service, before)));
+	const after = await listStarted(deployment);
+	const rows = [...tallies].map(([service, tally]) => createRow(service, tally, selectService(deployment, service, after.map((started, index) => started - (before[index] ?? 0)))));
+	const verdict = await judgeResults(results, deployment);
 	printRows(`${deployment.plan.tenant}, calm`, rows);
-	return printVerdict(results, deployment) && results.every(({kind}) => kind === 'answer');
+	printVerdict(verdict);
+	return isClean(verdict) && results.every(({kind}) => kind === 'answer');
 }
 
 async function runFaulty(deployment: Deployment, clock: Clock, opts: DemoOpts): Promise<boolean> {
@@ -86,16 +92,25 @@
 		tally.record(result);
 	}
 
+	const verdict = await judgeResults(results, deployment);
 	printRows(`${deployment.plan.tenant}, with faults`, [createRow('all', tally, [])]);
-	return printVerdict(results, deployment);
+	printVerdict(verdict);
+	return isClean(verdict);
 }
 
 function createPath(deployment: Deployment, clock: Clock): NodePath {
-	return new NodePath(clock, {origins: deployment.vms.map(({daemon}) => daemon.callerOrigin), connections: connectionsPerNode});
+	return new NodePath(clock, {origins: deployment.vms.map(vm => vm.process.callerOrigin), connections: connectionsPerNode});
+}
+
+async function listStarted(deployment: Deployment): Promise<readonly number[]> {
+	return Promise.all(deployment.vms.map(async vm => {
+		const {started} = await readCounts(vm.process.backendOrigin);
+		return started;
+	}));
 }
 
-function listStarted(deployment: Deployment, service: string, before: readonly number[]): readonly number[] {
-	return deployment.vms.flatMap((vm, index) => vm.service === service ? [vm.backendServer.counts.started - (before[index] ?? 0)] : []);
+function selectService(deployment: Deployment, service: string, values: readonly number[]): readonly number[] {
+	return values.filter((_, index) => deployment.vms[index]?.service === service);
 }
 
 function createRow(service: string, tally: Tally, started: readonly number[]): readonly string[] {
@@ -116,10 +131,8 @@
 	report(table.toString());
 }
 
-function printVerdict(results: readonly CallResult[], deployment: Deployment): boolean {
-	const verdict = judgeResults(results, deployment);
+function printVerdict(verdict: Verdict): void {
 	report(`mismatches ${verdict.mismatches}, doubled runs ${verdict.doubledRuns}, reported not run although they ran ${verdict.falseNotRuns}`);
-	return isClean(verdict);
 }
 
 function report(text: string): void {
--- a/tools/load/src/deployment.ts
+++ b/tools/load/src/deployment.ts
@@ -1,12 +1,10 @@
-import {StandInBackendServer, type BackendServerOpts} from '@buckthornpoint/backend-server/backend-server.js';
+import type {BackendServerOpts} from '@buckthornpoint/backend-server/backend-server.js';
 import type {Clock} from '@buckthornpoint/clock/clock.js';
-import {SeededRandom} from '@buckthornpoint/clock/seeded-random.js';
-import {startDaemon, type Daemon} from '@buckthornpoint/daemon/daemon.js';
-import {SilentLog} from '@buckthornpoint/log/reporters.js';
 import type {NodeSettings} from '@buckthornpoint/settings/settings.js';
 import {TableService} from '@buckthornpoint/table-service/table-service.js';
 import type {Configuration} from '@buckthornpoint/types/configuration.js';
 import {request} from 'undici';
+import {MeasuredProcess} from './child-process.js';
 import {
 	createConfiguration, pickFailureDomain, type DeploymentPlan, type ServicePlan,
 } from './deployments.js';
@@ -23,20 +21,18 @@
 	readonly coldStart?: BackendServerOpts['coldStart'];
 };
 
-/** A VM of a deployment that runs in this process. */
+/** A VM of a deployment: a process with a node and a backend server. */
 export type RunningVm = {
-	readonly vmId: string;
 	readonly service: string;
-	readonly daemon: Daemon;
-	readonly backendServer: StandInBackendServer;
+	readonly process: MeasuredProcess;
 };
 
-/** A deployment that runs in this process, on loopback. */
+/** A deployment that runs on loopback, each VM as a process of its own. */
 export type Deployment = {
 	readonly plan: DeploymentPlan;
 	readonly tableService: TableService;
 	readonly vms: readonly RunningVm[];
-	/** Stops the backend servers, the nodes and the table service. */
+	/** Stops all processes and the table service. */
 	close(): Promise<void>;
 };
 
@@ -45,20 +41,29 @@
 	const tableService = new TableService(clock);
 	const tableStore = await tableService.open();
 	await writeConfiguration(tableStore, createConfiguration(plan));
-	const placed = plan.services.flatMap(service => Array.from({length: service.size}, () => service));
-	const vms = await Promise.all(placed.map(async (service, index) => startVm({
-		plan, service, index, tableStore,
-	}, clock, opts)));
+	const vms = plan.services.flatMap(service => Array.from({length: service.size}, () => ({service: service.name, process: new MeasuredProcess()})));
 	const deployment: Deployment = {
 		plan,
 		tableService,
 		vms,
 		async close() {
-			await Promise.all(vms.map(async ({daemon}) => daemon.close()));
-			await Promise.all(vms.map(async ({backendServer}) => backendServer.close()));
+			await Promise.all(vms.map(async vm => vm.process.close()));
 			await tableService.close();
 		},
 	};
+	await Promise.all(vms.map(async (vm, index) => vm.process.open({
+		node: createNodeSettings(plan, index, tableStore),
+		backendServer: {
+			...opts,
+			name: `${vm.service}-${index + 1}`,
+			service: vm.service,
+			checksFence: false,
+			incarnation: `${plan.cell}/${index + 1}`,
+			nodeOrigin: '',
+			announceIntervalMs: 500,
+			seed: index + 1,
+		},
+	})));
 	await waitUntilServed(deployment, clock);
 	return deployment;
 }
@@ -88,37 +93,11 @@
 	};
 }
 
-type VmPlan = {
-	readonly plan: DeploymentPlan;
-	readonly service: ServicePlan;
-	readonly index: number;
-	readonly tableStore: string;
-};
-
-async function startVm({plan, service, index, tableStore}: VmPlan, clock: Clock, opts: DeploymentOpts): Promise<RunningVm> {
-	const settings = createNodeSettings(plan, index, tableStore);
-	const daemon = await startDaemon(settings, {clock, log: new SilentLog()});
-	const backendServer = new StandInBackendServer(clock, {
-		...opts,
-		name: `${service.name}-${index + 1}`,
-		service: service.name,
-		checksFence: false,
-		incarnation: `${settings.vmId}/1`,
-		nodeOrigin: daemon.callerOrigin,
-		announceIntervalMs: 500,
-		random: new SeededRandom(index + 1),
-	});
-	await backendServer.open();
-	return {
-		vmId: settings.vmId, service: service.name, daemon, backendServer,
-	};
-}
-
 async function waitUntilServed({plan, vms}: Deployment, clock: Clock): Promise<void> {
 	const startMs = clock.readMoment().monotonicMs;
 	for (const service of plan.services) {
 		for (let probe = 0; probe < probesPerService; probe++) {
-			const origin = vms[probe % vms.length]?.daemon.callerOrigin ?? '';
+			const origin = vms[probe % vms.length]?.process.callerOrigin ?? '';
 			while (!await probeService(origin, service, `probe-${probe}`)) {
 				if (clock.readMoment().monotonicMs - startMs > setupDeadlineMs) {
 					throw new Error(`${service.name} did not answer within ${setupDeadlineMs} ms of the start`);
--- a/tools/load/src/experiment-cluster.ts
+++ b/tools/load/src/experiment-cluster.ts
@@ -4,6 +4,7 @@
 import {TableService} from '@buckthornpoint/table-service/table-service.js';
 import type {Configuration} from '@buckthornpoint/types/configuration.js';
 import {request} from 'undici';
+import {readCounts, setCold, setFaults} from './backend-control.js';
 import {MeasuredProcess} from './child-process.js';
 import {createNodeSettings, writeConfiguration} from './deployment.js';
 import {createConfiguration, pickFailureDomain, type DeploymentPlan} from './deployments.js';
@@ -79,20 +80,17 @@
 
 	/** Returns what each backend server counted since its start. */
 	async readCounts(): Promise<readonly BackendServerCounts[]> {
-		return Promise.all(this.backendOrigins.map(async origin => {
-			const response = await request(`${origin}/buckthornpoint/counts`);
-			return await response.body.json() as BackendServerCounts; // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion
-		}));
+		return Promise.all(this.backendOrigins.map(async origin => readCounts(origin)));
 	}
 
 	/** Changes the faults of a backend server. */
 	async setFaults(index: number, faults: Partial<BackendServerFaults>): Promise<void> {
-		await this.#sendOrder('PUT', index, 'faults', faults);
+		await setFaults(this.backendOrigins[index] ?? '', faults);
 	}
 
-	/** Makes a backend server cold: `restart` with a new incarnation, `cold` without telling anybody. */
+	/** Makes a backend server cold. */
 	async setCold(index: number, how: 'restart' | 'cold'): Promise<void> {
-		await this.#sendOrder('POST', index, how, {});
+		await setCold(this.backendOrigins[index] ?? '', how);
 	}
 
 	/** Takes a failure domain out of service, or back, by a new configuration. */
@@ -105,17 +103,6 @@
 		await writeConfiguration(this.#tableStore, this.#configuration);
 	}
 
-	async #sendOrder(method: 'PUT' | 'POST', index: number, name: string, document: unknown): Promise<void> {
-		try {
-			const response = await request(`${this.backendOrigins[index] ?? ''}/buckthornpoint/${name}`, {
-				method, headers: {'content-type': 'application/json'}, body: JSON.stringify(document),
-			});
-			await response.body.dump();
-		} catch {
-			// A restart cuts the connection on which it was asked for.
-		}
-	}
-
 	async #waitUntilServed(): Promise<void> {
 		const startMs = this.#clock.readMoment().monotonicMs;
 		for (let probe = 0; probe < probes; probe++) {
--- a/tools/load/src/verdict.ts
+++ b/tools/load/src/verdict.ts
@@ -1,3 +1,4 @@
+import {readRuns} from './backend-control.js';
 import type {CallResult} from './call.js';
 import type {Deployment} from './deployment.js';
 
@@ -12,8 +13,9 @@
 };
 
 /** Compares the results of a load with what the backend servers counted. */
-export function judgeResults(results: readonly CallResult[], deployment: Deployment): Verdict {
-	const runs = (requestId: string): number => deployment.vms.reduce((sum, {backendServer}) => sum + backendServer.countRuns(requestId), 0);
+export async function judgeResults(results: readonly CallResult[], deployment: Deployment): Promise<Verdict> {
+	const counted = await Promise.all(deployment.vms.map(async vm => readRuns(vm.process.backendOrigin)));
+	const runs = (requestId: string): number => counted.reduce((sum, server) => sum + (server.get(requestId) ?? 0), 0);
 	return {
 		mismatches: results.filter(({isOwn}) => !isOwn).length,
 		doubledRuns: results.filter(({call}) => !call.idempotent && runs(call.requestId) > 1).length,
--- a/tools/load/src/waves.ts
+++ b/tools/load/src/waves.ts
@@ -1,5 +1,6 @@
 import {noFaults, type BackendServerFaults} from '@buckthornpoint/backend-server/faults.js';
 import {SeededRandom} from '@buckthornpoint/clock/seeded-random.js';
+import {setFaults} from './backend-control.js';
 import type {CallPath, CallResult} from './call.js';
 import {createCall} from './calls.js';
 import type {Deployment} from './deployment.js';
@@ -18,7 +19,7 @@
 /** Sends calls in waves while the backend servers delay, reorder, cross, lose and cut answers. */
 export async function sendWaves(deployment: Deployment, path: CallPath, opts: WaveOpts): Promise<readonly CallResult[]> {
 	const random = new SeededRandom(opts.seed);
-	await setFaults(deployment, faults);
+	await setAllFaults(deployment, faults);
 	const results: CallResult[] = [];
 	while (results.length < opts.waveCalls) {
 		const size = Math.min(opts.waveSize, opts.waveCalls - results.length);
@@ -26,10 +27,10 @@
 		results.push(...await Promise.all(calls.map(async call => path.send(call))));
 	}
 
-	await setFaults(deployment, noFaults);
+	await setAllFaults(deployment, noFaults);
 	return results;
 }
 
-async function setFaults({vms}: Deployment, changed: Partial<BackendServerFaults>): Promise<void> {
-	await Promise.all(vms.map(async ({backendServer}) => backendServer.setFaults(changed)));
+async function setAllFaults({vms}: Deployment, changed: Partial<BackendServerFaults>): Promise<void> {
+	await Promise.all(vms.map(async vm => setFaults(vm.process.backendOrigin, changed)));
 }
--- a/tools/load/test/waves.test.ts
+++ b/tools/load/test/waves.test.ts
@@ -24,10 +24,10 @@
 test('every answer is the caller\'s own and no order runs twice while answers are delayed, reordered, crossed, lost and cut', async () => {
 	const clock = new SystemClock();
 	const deployment = await startDeployment(plan, clock, {serviceTimeMs: 1, slots: 18});
-	const path = new NodePath(clock, {origins: deployment.vms.map(({daemon}) => daemon.callerOrigin), connections: 8});
+	const path = new NodePath(clock, {origins: deployment.vms.map(vm => vm.process.callerOrigin), connections: 8});
 	try {
 		const results = await sendWaves(deployment, path, {waveCalls: 400, waveSize: 40, seed: 7});
-		assert.deepEqual(judgeResults(results, deployment), {mismatches: 0, doubledRuns: 0, falseNotRuns: 0});
+		assert.deepEqual(await judgeResults(results, deployment), {mismatches: 0, doubledRuns: 0, falseNotRuns: 0});
 		assert.ok(results.some(({kind}) => kind === 'answer'));
 	} finally {
 		await path.close();
