--- a/tools/load/src/call.ts
+++ b/tools/load/src/call.ts
@@ -9,8 +9,10 @@
 	readonly requestId: string;
 	readonly service: string;
 	readonly key: string;
+	readonly method: 'GET' | 'POST';
+	/** Path and body together differ in each call, so that an answer to another call shows. */
 	readonly path: string;
-	/** Differs in each call, so that an answer to another call shows. */
+	/** Empty for GET. */
 	readonly body: string;
 	readonly idempotent: boolean;
 	readonly deadlineMs: number;
@@ -81,7 +83,7 @@
 		}
 
 		const response = await pool.request({
-			method: 'POST', path: call.path, body: call.body, headers: createHeaders(call), signal: AbortSignal.timeout(call.deadlineMs + graceMs),
+			method: call.method, path: call.path, body: call.method === 'GET' ? undefined : call.body, headers: createHeaders(call), signal: AbortSignal.timeout(call.deadlineMs + graceMs),
 		});
 		const text = await response.body.text();
 		return finish(judgeResponse(call, response, text));
--- a/tools/load/src/calls.ts
+++ b/tools/load/src/calls.ts
@@ -5,6 +5,7 @@
 
 const orderFraction = 0.3;
 const keysInUse = 500;
+const maxPadding = 200;
 const deadlineMs = 3000;
 
 /** Creates a call to a drawn service of the deployment: a lookup, or an order that must not run twice. */
@@ -19,15 +20,20 @@
 
 /** Creates a call to the service. */
 export function createServiceCall(service: ServicePlan, random: RandomSource): Call {
-	const isOrder = service.orderPath !== undefined && random.drawFraction() < orderFraction;
+	const isOrder = mustOrder(service, random);
 	const requestId = createUuid();
 	return {
 		requestId,
 		service: service.name,
 		key: `key-${random.drawBelow(keysInUse)}`,
-		path: isOrder ? service.orderPath ?? service.lookupPath : service.lookupPath,
-		body: `${service.name} ${requestId} ${'x'.repeat(random.drawBelow(200))}`,
+		method: isOrder ? 'POST' : 'GET',
+		path: isOrder ? service.orderPath ?? '/' : `${service.lookupPath ?? ''}/${requestId}`,
+		body: isOrder ? `${service.name} ${requestId} ${'x'.repeat(random.drawBelow(maxPadding))}` : '',
 		idempotent: !isOrder,
 		deadlineMs,
 	};
 }
+
+function mustOrder({lookupPath, orderPath}: ServicePlan, random: RandomSource): boolean {
+	return lookupPath === undefined || (orderPath !== undefined && random.drawFraction() < orderFraction);
+}
--- a/tools/load/src/deployment.ts
+++ b/tools/load/src/deployment.ts
@@ -1,3 +1,5 @@
+import {randomUUID} from 'node:crypto';
+import {readFile} from 'node:fs/promises';
 import type {BackendServerOpts} from '@buckthornpoint/backend-server/backend-server.js';
 import type {Clock} from '@buckthornpoint/clock/clock.js';
 import type {NodeSettings} from '@buckthornpoint/settings/settings.js';
@@ -9,6 +11,7 @@
 	createConfiguration, pickFailureDomain, type DeploymentPlan, type ServicePlan,
 } from './deployments.js';
 
+const operatorKey = 'operator-key-of-the-demo';
 const statusOk = 200;
 const pollMs = 50;
 const setupDeadlineMs = 30_000;
@@ -40,7 +43,10 @@
 export async function startDeployment(plan: DeploymentPlan, clock: Clock, opts: DeploymentOpts): Promise<Deployment> {
 	const tableService = new TableService(clock);
 	const tableStore = await tableService.open();
-	await writeConfiguration(tableStore, createConfiguration(plan));
+	if (plan.releaseNote === undefined) {
+		await writeConfiguration(tableStore, createConfiguration(plan));
+	}
+
 	const vms = plan.services.flatMap(service => Array.from({length: service.size}, () => ({service: service.name, process: new MeasuredProcess()})));
 	const deployment: Deployment = {
 		plan,
@@ -64,6 +70,10 @@
 			seed: index + 1,
 		},
 	})));
+	if (plan.releaseNote !== undefined) {
+		await applyNote(vms[0]?.process.callerOrigin ?? '', plan.releaseNote);
+	}
+
 	await waitUntilServed(deployment, clock);
 	return deployment;
 }
@@ -78,17 +88,32 @@
 	await response.body.dump();
 }
 
+/** Applies a release note through the operators' interface of a node. */
+async function applyNote(origin: string, file: string): Promise<void> {
+	const response = await request(`${origin}/v1/operator/notes`, {
+		method: 'POST',
+		headers: {'content-type': 'application/json', authorization: `Bearer ${operatorKey}`},
+		body: JSON.stringify({
+			changeId: randomUUID(), operator: 'demo', checkOnly: false, force: false, file, text: await readFile(file, 'utf8'),
+		}),
+	});
+	const text = await response.body.text();
+	if (response.statusCode !== statusOk) {
+		throw new Error(`the release note ${file} was refused: ${text}`);
+	}
+}
+
 /** Creates the settings of a node of a deployment on loopback. */
 export function createNodeSettings(plan: DeploymentPlan, index: number, tableStore: string): NodeSettings {
 	return {
 		vmId: `${plan.cell}-vm-${index + 1}`,
 		cell: plan.cell,
-		failureDomain: pickFailureDomain(index),
+		failureDomain: pickFailureDomain(plan, index),
 		caller: {host: '127.0.0.1', port: 0},
 		peer: {host: '127.0.0.1', port: 0},
 		tableStore,
 		objectStore: tableStore,
-		operatorKey: 'operator-key-of-the-demo',
+		operatorKey,
 		log: {level: 'error', reporter: 'silent'},
 	};
 }
@@ -110,8 +135,9 @@
 }
 
 async function probeService(origin: string, service: ServicePlan, key: string): Promise<boolean> {
-	const response = await request(`${origin}${service.lookupPath}`, {
-		method: 'POST', body: key, headers: {'buckthornpoint-service': service.name, 'buckthornpoint-key': key},
+	const method = service.lookupPath === undefined ? 'POST' : 'GET';
+	const response = await request(`${origin}${service.lookupPath ?? service.orderPath ?? '/'}`, {
+		method, headers: {'buckthornpoint-service': service.name, 'buckthornpoint-key': key},
 	});
 	await response.body.dump();
 	return response.statusCode === statusOk;
--- a/tools/load/src/deployments.ts
+++ b/tools/load/src/deployments.ts
@@ -3,15 +3,14 @@
 const interactiveDeadlineMs = 2000;
 const transactionalDeadlineMs = 5000;
 const divisionPartitions = 64;
-const failureDomains = ['fd-1', 'fd-2', 'fd-3'] as const;
 
 /** A service and how many backend servers bear it. */
 export type ServicePlan = {
 	readonly name: string;
 	readonly divided: boolean;
 	readonly size: number;
-	/** Path of its idempotent requests. */
-	readonly lookupPath: string;
+	/** Path of its idempotent requests; absent when it has none. */
+	readonly lookupPath?: string;
 	/** Path of its non-idempotent requests; absent when it has none. */
 	readonly orderPath?: string;
 };
@@ -21,7 +20,11 @@
 	readonly tenant: string;
 	readonly cell: string;
 	readonly maxConnections: number;
+	/** Names of its failure domains. */
+	readonly failureDomains: readonly string[];
 	readonly services: readonly ServicePlan[];
+	/** File of its first release note. */
+	readonly releaseNote?: string;
 };
 
 /** Medoplech in sk-east at today's sizes. */
@@ -29,15 +32,17 @@
 	tenant: 'medoplech',
 	cell: 'sk-east-1',
 	maxConnections: 110,
+	failureDomains: ['kosice-a', 'kosice-b', 'zilina'],
+	releaseNote: 'examples/medoplech.jsonc',
 	services: [
 		{
-			name: 'sklad', divided: true, size: 4, lookupPath: '/lots', orderPath: '/lots-orders',
+			name: 'sklad', divided: true, size: 4, lookupPath: '/lots', orderPath: '/lots',
 		},
 		{
-			name: 'rezervacie', divided: false, size: 3, lookupPath: '/grades', orderPath: '/reservations',
+			name: 'rezervacie', divided: false, size: 3, lookupPath: '/reservations', orderPath: '/reservations',
 		},
 		{
-			name: 'fakturacia', divided: false, size: 3, lookupPath: '/tariffs', orderPath: '/invoices',
+			name: 'fakturacia', divided: false, size: 3, orderPath: '/invoices',
 		},
 	],
 };
@@ -47,22 +52,24 @@
 	tenant: 'kartonpont',
 	cell: 'hu-central-1',
 	maxConnections: 100,
+	failureDomains: ['budapest', 'gyor', 'szeged'],
+	releaseNote: 'examples/kartonpont.jsonc',
 	services: [
 		{
 			name: 'katalogus', divided: true, size: 6, lookupPath: '/designs', orderPath: '/orders',
 		},
 		{
-			name: 'nyomda', divided: false, size: 4, lookupPath: '/press-status', orderPath: '/print-jobs',
+			name: 'nyomda', divided: false, size: 4, lookupPath: '/presses', orderPath: '/jobs',
 		},
 		{
-			name: 'szamla', divided: false, size: 3, lookupPath: '/price-lists', orderPath: '/invoices',
+			name: 'szamla', divided: false, size: 3, orderPath: '/invoices',
 		},
 	],
 };
 
 /** Returns the failure domain of the VM with the given number. */
-export function pickFailureDomain(index: number): string {
-	return failureDomains[index % failureDomains.length] ?? failureDomains[0];
+export function pickFailureDomain({failureDomains}: DeploymentPlan, index: number): string {
+	return failureDomains[index % failureDomains.length] ?? '';
 }
 
 /** Creates the configuration of a deployment. */
@@ -70,7 +77,7 @@
 	return {
 		version: 1,
 		services: plan.services.map(service => createService(plan, service)),
-		failureDomains: failureDomains.map(name => ({name, out: false})),
+		failureDomains: plan.failureDomains.map(name => ({name, out: false})),
 		stoppingVms: [],
 		deadVms: [],
 	};
@@ -88,13 +95,16 @@
 	};
 }
 
-function createRules(service: ServicePlan): readonly RequestRule[] {
-	const order: readonly RequestRule[] = service.orderPath === undefined
+function createRules({lookupPath, orderPath}: ServicePlan): readonly RequestRule[] {
+	const order: readonly RequestRule[] = orderPath === undefined || orderPath === lookupPath
 		? []
 		: [{
-			method: '*', pathPrefix: service.orderPath, idempotent: false, requestClass: 'transactional', defaultDeadlineMs: transactionalDeadlineMs,
+			method: '*', pathPrefix: orderPath, idempotent: false, requestClass: 'transactional', defaultDeadlineMs: transactionalDeadlineMs,
 		}];
-	return [...order, {
-		method: '*', pathPrefix: service.lookupPath, idempotent: true, requestClass: 'interactive', defaultDeadlineMs: interactiveDeadlineMs,
-	}];
+	const lookup: readonly RequestRule[] = lookupPath === undefined
+		? []
+		: [{
+			method: orderPath === lookupPath ? 'GET' : '*', pathPrefix: lookupPath, idempotent: true, requestClass: 'interactive', defaultDeadlineMs: interactiveDeadlineMs,
+		}];
+	return [...order, ...lookup];
 }
--- a/tools/load/src/experiment-cluster.ts
+++ b/tools/load/src/experiment-cluster.ts
@@ -7,7 +7,7 @@
 import {readCounts, setCold, setFaults} from './backend-control.js';
 import {MeasuredProcess} from './child-process.js';
 import {createNodeSettings, writeConfiguration} from './deployment.js';
-import {createConfiguration, pickFailureDomain, type DeploymentPlan} from './deployments.js';
+import {createConfiguration, type DeploymentPlan} from './deployments.js';
 import type {ExperimentSettings} from './experiment-settings.js';
 
 const requestsPerWarmStep = 20;
@@ -17,6 +17,9 @@
 const statusOk = 200;
 const probes = 64;
 
+/** Failure domains of the VMs, in turn. */
+export const experimentDomains = ['kosice-a', 'kosice-b', 'zilina'] as const;
+
 /** Name and path of the service that experiments use. */
 export const experimentService = {
 	name: 'rezervacie', lookupPath: '/grades',
@@ -119,12 +122,12 @@
 
 /** Returns the indexes of the VMs of a failure domain. */
 export function listVmsOf(failureDomain: string, size: number): readonly number[] {
-	return Array.from({length: size}, (_, index) => index).filter(index => pickFailureDomain(index) === failureDomain);
+	return Array.from({length: size}, (_, index) => index).filter(index => experimentDomains[index % experimentDomains.length] === failureDomain);
 }
 
 function createPlan({divided, size}: ExperimentSettings): DeploymentPlan {
 	return {
-		tenant: 'medoplech', cell: 'sk-east-1', maxConnections: 110, services: [{...experimentService, divided, size}],
+		tenant: 'medoplech', cell: 'sk-east-1', maxConnections: 110, failureDomains: experimentDomains, services: [{...experimentService, divided, size}],
 	};
 }
 
--- a/tools/load/src/experiment.ts
+++ b/tools/load/src/experiment.ts
@@ -3,7 +3,9 @@
 import type {BackendServerCounts} from '@buckthornpoint/backend-server/run-log.js';
 import {v7 as createUuid} from 'uuid';
 import {NodePath, type Call, type CallPath} from './call.js';
-import {ExperimentCluster, experimentService, listVmsOf} from './experiment-cluster.js';
+import {
+	ExperimentCluster, experimentDomains, experimentService, listVmsOf,
+} from './experiment-cluster.js';
 import type {ExperimentSettings} from './experiment-settings.js';
 import {NaivePath} from './naive-path.js';
 import {sendOpenLoad} from './open-load.js';
@@ -14,7 +16,7 @@
 const wholePercent = 100;
 const keysInUse = 500;
 const connectionsPerNode = 256;
-const failureDomainOut = 'fd-1';
+const [failureDomainOut] = experimentDomains;
 const outAllowanceMs = 3000;
 
 /** The calls that were planned in one part of a step. */
@@ -128,6 +130,7 @@
 		requestId,
 		service: experimentService.name,
 		key: isHot ? 'hot' : `key-${random.drawBelow(keysInUse)}`,
+		method: 'POST',
 		path: experimentService.lookupPath,
 		body: requestId,
 		idempotent: true,
--- a/tools/load/src/hops.ts
+++ b/tools/load/src/hops.ts
@@ -17,7 +17,7 @@
 	name: 'sklad', divided: true, size: 1, lookupPath: '/lots',
 } as const;
 const plan: DeploymentPlan = {
-	tenant: 'medoplech', cell: 'sk-east-1', maxConnections: 110, services: [service],
+	tenant: 'medoplech', cell: 'sk-east-1', maxConnections: 110, failureDomains: ['kosice-a', 'kosice-b', 'zilina'], services: [service],
 };
 
 /** What one way to the backend server bears. */
--- a/tools/load/src/slopes-idle.ts
+++ b/tools/load/src/slopes-idle.ts
@@ -18,6 +18,7 @@
 		tenant: 'medoplech',
 		cell: `cell-of-${size}`,
 		maxConnections: 110,
+		failureDomains: ['kosice-a', 'kosice-b', 'zilina'],
 		services: [{
 			name: 'sklad', divided: true, size, lookupPath: '/lots',
 		}],
--- a/tools/load/test/waves.test.ts
+++ b/tools/load/test/waves.test.ts
@@ -11,12 +11,13 @@
 	tenant: 'medoplech',
 	cell: 'sk-east-1',
 	maxConnections: 110,
+	failureDomains: ['kosice-a', 'kosice-b', 'zilina'],
 	services: [
 		{
-			name: 'sklad', divided: true, size: 2, lookupPath: '/lots', orderPath: '/lots-orders',
+			name: 'sklad', divided: true, size: 2, lookupPath: '/lots', orderPath: '/lots',
 		},
 		{
-			name: 'rezervacie', divided: false, size: 2, lookupPath: '/grades', orderPath: '/reservations',
+			name: 'rezervacie', divided: false, size: 2, lookupPath: '/reservations', orderPath: '/reservations',
 		},
 	],
 };
