test: hold whole operator sessions of both deployments to golden files

Cause: operators see the product through one command; its words and exit codes must not change by accident. The step that waits for owners counts what each node holds by its own word.

--- /dev/null
+++ b/features/steps/operator-session.ts
@@ -0,0 +1,77 @@
+import {readFile} from 'node:fs/promises';
+import {runCommandLine} from '@buckthornpoint/buckthornpoint/run-command-line.js';
+import type {Clock} from '@buckthornpoint/clock/clock.js';
+import {operatorKey} from './deployment.js';
+
+/** What one command printed. */
+export type CommandRecord = {
+	readonly exitCode: number;
+	/** Output and error output in the order in which they were written. */
+	readonly text: string;
+};
+
+/** Who runs a command, and where. */
+export type SessionOpts = {
+	readonly clock: Clock;
+	readonly nodes: readonly string[];
+	readonly operator: string;
+	/** Files that exist only in the session, by name. */
+	readonly files: ReadonlyMap<string, string>;
+};
+
+let lastChangeId = 0;
+
+/** Runs one command line of an operator's session. */
+export async function runOperatorCommand(line: string, opts: SessionOpts): Promise<CommandRecord> {
+	const lines: string[] = [];
+	const record = (text: string): void => {
+		lines.push(text);
+	};
+
+	const exitCode = await runCommandLine(line.split(' ').slice(1), {
+		clock: opts.clock,
+		env: createEnvironment(opts),
+		print: record,
+		report: record,
+		readFile: async path => opts.files.get(path) ?? readFile(new URL(`../../../${path}`, import.meta.url), 'utf8'),
+		drawId: () => `session-change-${++lastChangeId}`,
+		signal: new AbortController().signal,
+	});
+	return {exitCode, text: lines.join('\n')};
+}
+
+/** Formats a command for a golden file: what differs from run to run is replaced. */
+export function formatRecord(line: string, {exitCode, text}: CommandRecord): string {
+	return `$ ${line}\n${replaceVolatile(text)}\nexit code ${exitCode}\n`;
+}
+
+function createEnvironment({nodes, operator}: SessionOpts): Readonly<Record<string, string>> {
+	return Object.fromEntries([
+		['BUCKTHORNPOINT_NODES', nodes.join(',')], ['BUCKTHORNPOINT_OPERATOR_KEY', operatorKey], ['BUCKTHORNPOINT_OPERATOR', operator],
+	]);
+}
+
+function replaceVolatile(text: string): string {
+	return keepLastProgress(text)
+		.replaceAll(/\d{4}-\d\d-\d\dT[\d:.]+Z/gv, '<time>')
+		.replaceAll(/map \d+/gv, 'map <n>')
+		.replaceAll(/map version \d+/gv, 'map version <n>')
+		.replaceAll(/controller [^\s\(]+ \(epoch \d+\)/gv, 'controller <VM> (epoch <n>)')
+		.replaceAll(/from [^\s]+-\d+$/gmv, 'from <VM>')
+		.replaceAll(/owner: VM \S+ in \S+, backend server \S+/gv, 'owner: VM <VM> in <failure domain>, backend server <backend server>')
+		.replaceAll(/gives it to \S+/gv, 'gives it to <VM>')
+		.replaceAll(/fence \d+\.\d+/gv, 'fence <epoch>.<counter>')
+		.replaceAll(/lease: \d+ ms/gv, 'lease: <n> ms')
+		.replaceAll(/heard \d+ ms ago/gv, 'heard <n> ms ago')
+		.replaceAll(/(?<=│ active +│ )\d+ *(?= │ \d+ +│$)/gmv, cell => 'n'.padEnd(cell.length));
+}
+
+/** Progress depends on the moments of looking, so only its end is kept. */
+function keepLastProgress(text: string): string {
+	const lines = text.split('\n');
+	return lines.filter((line, index) => !isProgress(line) || !isProgress(lines[index + 1] ?? '')).join('\n');
+}
+
+function isProgress(line: string): boolean {
+	return /^version \d+ in force on \d+ of \d+ VMs/v.test(line);
+}
--- /dev/null
+++ b/features/steps/operators.ts
@@ -0,0 +1,137 @@
+import assert from 'node:assert/strict';
+import {existsSync, readFileSync, writeFileSync} from 'node:fs';
+import process from 'node:process';
+import {
+	After, Given, Then, When,
+} from '@cucumber/cucumber';
+import {requestHeldCount, requestStatus} from '@buckthornpoint/buckthornpoint/operator-client.js';
+import type {StatusAnswer} from '@buckthornpoint/buckthornpoint/status-answer.js';
+import {SystemClock} from '@buckthornpoint/clock/system-clock.js';
+import {
+	deploymentPlans, operatorKey, startDeployment, type Deployment,
+} from './deployment.js';
+import {
+	formatRecord, runOperatorCommand, type CommandRecord, type SessionOpts,
+} from './operator-session.js';
+
+const clock = new SystemClock();
+const pollMs = 50;
+
+let deployment: Deployment | undefined;
+let files = new Map<string, string>();
+let records: string[] = [];
+
+Given('the deployment {string} without a configuration', async (name: string) => {
+	const plan = deploymentPlans[name];
+	assert.ok(plan !== undefined);
+	deployment = await startDeployment(plan, clock);
+	await waitForMembers(deployment.vms.length);
+});
+
+Given('the file {string}:', (name: string, content: string) => {
+	files.set(name, content);
+});
+
+When('the operator runs:', async (script: string) => {
+	for (const line of script.split('\n').filter(text => text.startsWith('$ ')).map(text => text.slice(2))) {
+		records.push(formatRecord(line, await runOperatorCommand(line, createOpts('anna', 0))));
+	}
+});
+
+When('{string} and {string} run at once, each through a node of its own:', async (first: string, second: string, line: string) => {
+	const outcomes = await Promise.all([first, second].map(async (operator, index) => ({
+		operator, record: await runOperatorCommand(line.replaceAll('<operator>', operator), createOpts(operator, index)),
+	})));
+	const sorted = outcomes.toSorted((left, right) => left.record.exitCode - right.record.exitCode);
+	const names = sorted.map(({operator}) => operator);
+	for (const {record, operator} of sorted) {
+		records.push(formatRecord(`(${operator === names[0] ? 'winner' : 'loser'}) ${line}`, withRoles(record, names)));
+	}
+});
+
+When('every partition is held by one VM', async () => {
+	await waitForOwners();
+});
+
+When('the store goes down', () => {
+	getDeployment().tableService.setFaults({down: true});
+});
+
+When('the store returns', () => {
+	getDeployment().tableService.setFaults({down: false});
+});
+
+When('the store loses the answer of the next write of a change', () => {
+	getDeployment().tableService.setFaults({loseAnswers: 1});
+});
+
+Then('the session is that of the golden file {string}', (name: string) => {
+	const session = records.join('\n');
+	const file = new URL(`../../golden/${name}`, import.meta.url);
+	if (process.env.UPDATE_GOLDEN === 'yes' || !existsSync(file)) {
+		assert.equal(process.env.UPDATE_GOLDEN, 'yes', `the golden file ${name} is missing; write it with UPDATE_GOLDEN=yes`);
+		writeFileSync(file, session);
+	}
+
+	assert.equal(session, readFileSync(file, 'utf8'));
+});
+
+After(async () => {
+	await deployment?.close();
+	deployment = undefined;
+	files = new Map();
+	records = [];
+});
+
+function getDeployment(): Deployment {
+	assert.ok(deployment !== undefined);
+	return deployment;
+}
+
+function createOpts(operator: string, firstNode: number): SessionOpts {
+	const nodes = getDeployment().vms.map(({daemon}) => daemon.callerOrigin);
+	return {
+		clock, operator, files, nodes: [...nodes.slice(firstNode), ...nodes.slice(0, firstNode)],
+	};
+}
+
+/** The loser hears of the race when it looks or when it commits, so what it meant to add is left out. */
+function withRoles(record: CommandRecord, [winner = '', loser = '']: readonly string[]): CommandRecord {
+	const text = record.text.replaceAll(winner, '<winner>').replaceAll(loser, '<loser>');
+	return {...record, text: text.split('\n').filter(line => line !== '+ failure domain domain-of-<loser>').join('\n')};
+}
+
+async function waitForMembers(count: number): Promise<void> {
+	while (await countAnnounced() < count) {
+		await clock.sleep(pollMs);
+	}
+}
+
+async function countAnnounced(): Promise<number> {
+	const {status} = await requestStatusOf(0);
+	return status.role === 'controller'
+		? status.members.filter(({backendServer, silentForMs}) => backendServer !== undefined && silentForMs !== undefined).length
+		: 0;
+}
+
+/** Waits until the nodes together hold as many partitions as there are, by what each says of itself. */
+async function waitForOwners(): Promise<void> {
+	const origins = getDeployment().vms.map(({daemon}) => daemon.callerOrigin);
+	const settings = {nodes: origins, operatorKey, operator: 'anna'};
+	while (true) {
+		const {configuration} = await requestStatusOf(0);
+		const total = configuration.services.reduce((sum, {partitionCount}) => sum + partitionCount, 0);
+		const held = await Promise.all(origins.map(async origin => requestHeldCount(settings, origin)));
+		if (total > 0 && held.reduce<number>((sum, count) => sum + (count ?? 0), 0) === total) {
+			return;
+		}
+
+		await clock.sleep(pollMs);
+	}
+}
+
+async function requestStatusOf(index: number): Promise<StatusAnswer> {
+	const origin = getDeployment().vms[index]?.daemon.callerOrigin ?? '';
+	const answer = await requestStatus({nodes: [origin], operatorKey, operator: 'anna'});
+	return answer._unsafeUnwrap();
+}
