--- a/features/steps/operator-session.ts
+++ b/features/steps/operator-session.ts
@@ -52,7 +52,7 @@
 }
 
 function replaceVolatile(text: string): string {
-	return keepLastProgress(text)
+	return filterProgress(text)
 		.replaceAll(/\d{4}-\d\d-\d\dT[\d:.]+Z/gv, '<time>')
 		.replaceAll(/map \d+/gv, 'map <n>')
 		.replaceAll(/map version \d+/gv, 'map version <n>')
@@ -67,7 +67,7 @@
 }
 
 /** Progress depends on the moments of looking, so only its end is kept. */
-function keepLastProgress(text: string): string {
+function filterProgress(text: string): string {
 	const lines = text.split('\n');
 	return lines.filter((line, index) => !isProgress(line) || !isProgress(lines[index + 1] ?? '')).join('\n');
 }
