feat: route, retry and hedge requests within one budget

Cause: a request was sent once, to the owner that the table named; hand-overs and lost connections failed it, and undivided services had no choice of backend server. Change: core/routing finds policies, owners (with key exceptions) and bearers, and chooses the better of two random ones by outstanding requests and recent latency, leaving out outliers, at most half. core/retries holds one budget for all extra attempts (a tenth of the first ones), full jitter and the delay of hedges. The router waits for a new owner during a hand-over, bounded, asks over a new connection for the outcome of a lost non-idempotent attempt, and says not-run only if nothing sent before under the id can have run (headers buckthornpoint-attempt, buckthornpoint-earlier-outcome). Connections between nodes are probed and replaced. All findings of a bad request are reported at once; bodies are bounded. Latency and load are not measured here.

--- a/node/daemon/src/daemon.ts
+++ b/node/daemon/src/daemon.ts
@@ -42,11 +42,13 @@
 	const cell = new CellTask({
 		cell: settings.cell, member, store, clock: opts.clock, log: opts.log,
 	});
-	const peers = new PeerClient();
+	const peers = new PeerClient(opts.clock);
+	const random = createSystemRandom();
+	const metrics = new SilentMetrics();
 	const guard = new Guard({
 		clock: opts.clock,
-		random: createSystemRandom(),
-		metrics: new SilentMetrics(),
+		random,
+		metrics,
 		ownership: cell.ownership,
 		backendServer: cell.backendServer,
 		configuration: cell.configuration,
@@ -56,7 +58,7 @@
 		},
 	});
 	const router = new Router({
-		node: member, guard, peers, routing: cell.routing, configuration: cell.configuration,
+		node: member, guard, peers, routing: cell.routing, configuration: cell.configuration, clock: opts.clock, random, metrics,
 	});
 	peerServer.serve(connectRouter => {
 		registerRequestCalls(connectRouter, guard);
@@ -76,6 +78,8 @@
 			await running;
 			await callerServer.close();
 			await peerServer.close();
+			router.close();
+			await peers.close();
 			await guard.close();
 			await store.close();
 			opts.log.write({event: 'node-stopped', vmId: member.vmId});
--- a/node/guard/src/guard.ts
+++ b/node/guard/src/guard.ts
@@ -58,6 +58,7 @@
 	readonly #meter = new LoadMeter();
 	#backend: Backend | undefined;
 	#leavingSince: Moment | undefined;
+	#isClosed = false;
 
 	constructor(opts: GuardOpts) {
 		this.#opts = opts;
@@ -77,6 +78,10 @@
 
 	/** Hands a request to the backend server if the node may do so now, in the order of its class. */
 	async handle(routed: RoutedRequest, signal: AbortSignal): Promise<RequestResult> {
+		if (this.#isClosed) {
+			return createNotRun(routed.requestId, 'stopping', 'the node is stopping');
+		}
+
 		const {node} = this.#opts.ownership.read();
 		if (routed.target.incarnation !== node.incarnation) {
 			return createNotRun(routed.requestId, 'incarnation-mismatch', 'the attempt names another run of this node');
@@ -109,6 +114,7 @@
 
 	/** Gives up what runs and closes the connections to the backend server. */
 	async close(): Promise<void> {
+		this.#isClosed = true;
 		for (const unsubscribe of this.#unsubscribes) {
 			unsubscribe();
 		}
--- a/node/guard/src/running-requests.ts
+++ b/node/guard/src/running-requests.ts
@@ -66,6 +66,10 @@
 				this.#entries.delete(entry);
 				this.#count(partition, -1);
 				this.#reportDrained();
+				if (this.#entries.size === 0) {
+					this.#leaseTimer?.close();
+					this.#leaseTimer = undefined;
+				}
 			},
 		};
 	}
--- a/node/router/src/parse-request.ts
+++ b/node/router/src/parse-request.ts
@@ -1,18 +1,31 @@
-import {findPartition} from '@buckthornpoint/placement/partition-hash.js';
-import type {Configuration, RequestRule, ServiceConfiguration} from '@buckthornpoint/types/configuration.js';
+import type {Finding} from '@buckthornpoint/errors/findings.js';
+import {readIssueTime} from '@buckthornpoint/outcomes/request-id.js';
+import {findPolicy, mayAskForClass, parseRequestClass} from '@buckthornpoint/routing/find-rule.js';
+import type {Configuration, RequestClass, ServiceConfiguration} from '@buckthornpoint/types/configuration.js';
 import {
 	createNotRun, type Header, type RequestFailure, type RoutedRequest,
 } from '@buckthornpoint/types/requests.js';
 import {err, ok, type Result} from 'neverthrow';
 import {v7 as createUuid} from 'uuid';
 
+/** Attempts of nodes between two sendings of a caller. */
 const attemptsPerSending = 1000;
-const fallbackDeadlineMs = 1000;
+const maxSendings = 4_000_000;
+const maxDeadlineMs = 600_000;
+const maxKeyLength = 1024;
+const maxRequestIdLength = 128;
 const ownHeaders = 'buckthornpoint-';
+const numberPattern = /^\d{1,9}$/v;
+const requestIdPattern = /^[\w.:\-]+$/v;
 
 /** A caller's request before the router has chosen a node for it. */
-export type ParsedRequest = Omit<RoutedRequest, 'target'> & {
+export type ParsedRequest = Omit<RoutedRequest, 'target' | 'partition'> & {
+	readonly service: string;
 	readonly divided: boolean;
+	/** What decides the partition: the key, or the request id where the service is not divided by key. */
+	readonly placementKey: string;
+	/** Whether nothing that was sent before under the id can have run, by the caller's word or because the id is new. */
+	readonly isProvedNew: boolean;
 };
 
 /** A caller's HTTP request with its whole body. */
@@ -24,47 +37,108 @@
 	readonly body: Uint8Array;
 };
 
-/** Reads the headers of a caller's request, or says why it can't be routed. */
+/** Reads the headers of a caller's request, or says all that is wrong with them at once. */
 export function parseRequest(request: CallerRequest, configuration: Configuration): Result<ParsedRequest, RequestFailure> {
-	const requestId = request.headers.get('buckthornpoint-request-id') ?? createUuid();
-	const serviceName = request.headers.get('buckthornpoint-service');
-	const service = configuration.services.find(({name}) => name === serviceName);
-	if (service === undefined) {
-		return err(createNotRun(requestId, 'service-unknown', `no service is called ${serviceName ?? '(header missing)'}`));
-	}
-
-	const key = request.headers.get('buckthornpoint-key') ?? (service.divided ? undefined : requestId);
-	if (key === undefined) {
-		return err(createNotRun(requestId, 'invalid-request', 'the service is divided by key, and the header buckthornpoint-key is missing'));
-	}
-
-	const rule = findRule(service, request);
-	const deadline = request.headers.get('buckthornpoint-deadline-ms');
-	const remainingMs = deadline === null ? rule?.defaultDeadlineMs ?? fallbackDeadlineMs : Number(deadline);
-	if (!Number.isFinite(remainingMs) || remainingMs <= 0) {
-		return err(createNotRun(requestId, 'invalid-request', `buckthornpoint-deadline-ms is not a positive number: ${deadline ?? ''}`));
+	const findings: Finding[] = [];
+	const givenId = request.headers.get('buckthornpoint-request-id');
+	const requestId = givenId ?? createUuid();
+	const service = findService(request, configuration, findings);
+	const policy = service === undefined ? undefined : findPolicy(service, request.method, request.path);
+	const key = parseKey(request, service, findings);
+	const sending = parseNumber(request, 'buckthornpoint-attempt', maxSendings, findings);
+	const deadlineMs = parseNumber(request, 'buckthornpoint-deadline-ms', maxDeadlineMs, findings);
+	const requestClass = parseClass(request, policy?.requestClass, findings);
+	checkRequestId(requestId, policy?.idempotent ?? true, findings);
+	if (service === undefined || policy === undefined || findings.length > 0) {
+		return err(createFailure(requestId, findings));
 	}
 
 	return ok({
 		requestId,
-		attempt: attemptsPerSending,
+		attempt: (sending ?? 1) * attemptsPerSending,
 		service: service.name,
-		key,
-		partition: findPartition(key, service.partitionCount),
+		key: key ?? requestId,
 		tenant: service.tenant,
-		idempotent: rule?.idempotent ?? false,
-		requestClass: rule?.requestClass ?? 'transactional',
-		remainingMs,
+		idempotent: policy.idempotent,
+		requestClass: requestClass ?? policy.requestClass,
+		remainingMs: deadlineMs ?? policy.defaultDeadlineMs,
 		method: request.method,
 		path: request.path,
 		headers: listHeaders(request.headers),
 		body: request.body,
 		divided: service.divided,
+		placementKey: service.divided ? key ?? requestId : requestId,
+		isProvedNew: givenId === null || sending === 1 || request.headers.get('buckthornpoint-earlier-outcome') === 'not-run',
 	});
 }
 
-function findRule(service: ServiceConfiguration, request: CallerRequest): RequestRule | undefined {
-	return service.rules.find(rule => (rule.method === '*' || rule.method === request.method) && request.path.startsWith(rule.pathPrefix));
+function findService(request: CallerRequest, configuration: Configuration, findings: Finding[]): ServiceConfiguration | undefined {
+	const name = request.headers.get('buckthornpoint-service');
+	const service = configuration.services.find(candidate => candidate.name === name);
+	if (name === null) {
+		findings.push({code: 'ERR_HEADER_MISSING', message: 'the header buckthornpoint-service is missing'});
+	} else if (service === undefined) {
+		findings.push({code: 'ERR_SERVICE_UNKNOWN', message: `no service is called ${name}`});
+	}
+
+	return service;
+}
+
+function parseKey(request: CallerRequest, service: ServiceConfiguration | undefined, findings: Finding[]): string | undefined {
+	const key = request.headers.get('buckthornpoint-key') ?? undefined;
+	if (service?.divided === true && (key === undefined || key === '')) {
+		findings.push({code: 'ERR_HEADER_MISSING', message: 'the service is divided by key, and the header buckthornpoint-key is missing'});
+	}
+
+	if (key !== undefined && key.length > maxKeyLength) {
+		findings.push({code: 'ERR_HEADER_INVALID', message: `buckthornpoint-key is longer than ${maxKeyLength} characters`});
+	}
+
+	return key;
+}
+
+function parseNumber(request: CallerRequest, name: string, max: number, findings: Finding[]): number | undefined {
+	const text = request.headers.get(name);
+	if (text === null) {
+		return undefined;
+	}
+
+	const value = numberPattern.test(text) ? Number(text) : 0;
+	if (value < 1 || value > max) {
+		findings.push({code: 'ERR_HEADER_INVALID', message: `${name} is not a whole number from 1 to ${max}: ${text}`});
+	}
+
+	return value;
+}
+
+function parseClass(request: CallerRequest, allowed: RequestClass | undefined, findings: Finding[]): RequestClass | undefined {
+	const text = request.headers.get('buckthornpoint-class');
+	if (text === null) {
+		return undefined;
+	}
+
+	const asked = parseRequestClass(text);
+	if (asked === undefined) {
+		findings.push({code: 'ERR_HEADER_INVALID', message: `buckthornpoint-class names no class: ${text}`});
+	} else if (allowed !== undefined && !mayAskForClass(asked, allowed)) {
+		findings.push({code: 'ERR_HEADER_INVALID', message: `buckthornpoint-class asks to be served before the class of the rule, ${allowed}: ${text}`});
+	}
+
+	return asked;
+}
+
+function checkRequestId(requestId: string, isIdempotent: boolean, findings: Finding[]): void {
+	if (requestId.length > maxRequestIdLength || !requestIdPattern.test(requestId)) {
+		findings.push({code: 'ERR_HEADER_INVALID', message: `buckthornpoint-request-id is longer than ${maxRequestIdLength} characters, or has others than letters, digits and -_.:`});
+	} else if (!isIdempotent && readIssueTime(requestId) === undefined) {
+		findings.push({code: 'ERR_HEADER_INVALID', message: 'the id of a request that is not idempotent must be a UUIDv7 in lower case'});
+	}
+}
+
+function createFailure(requestId: string, findings: readonly Finding[]): RequestFailure {
+	const isUnknownService = findings.length === 1 && findings[0]?.code === 'ERR_SERVICE_UNKNOWN';
+	const message = findings.map(finding => `${finding.code}: ${finding.message}`).join('; ');
+	return createNotRun(requestId, isUnknownService ? 'service-unknown' : 'invalid-request', message);
 }
 
 function listHeaders(headers: Headers): readonly Header[] {
--- a/node/router/src/router.ts
+++ b/node/router/src/router.ts
@@ -1,27 +1,56 @@
+import type {Clock} from '@buckthornpoint/clock/clock.js';
+import type {RandomSource} from '@buckthornpoint/clock/random.js';
 import type {Guard} from '@buckthornpoint/guard/guard.js';
+import type {Metrics} from '@buckthornpoint/metrics/metrics.js';
+import {RetryBudget} from '@buckthornpoint/retries/retry-budget.js';
+import {BearerStatistics} from '@buckthornpoint/routing/bearer-statistics.js';
 import type {Published} from '@buckthornpoint/tasks/published.js';
 import type {Configuration} from '@buckthornpoint/types/configuration.js';
 import type {NodeIdentity} from '@buckthornpoint/types/identity.js';
-import type {Member, RoutingTable} from '@buckthornpoint/types/membership.js';
-import {createNotRun, type RequestResult} from '@buckthornpoint/types/requests.js';
+import type {RoutingTable} from '@buckthornpoint/types/membership.js';
+import {
+	createNotRun, createOutcomeUnknown, type FailureReason, type RequestResult,
+} from '@buckthornpoint/types/requests.js';
+import {AttemptSender} from './attempt-sender.js';
+import {BearerRoute} from './bearer-route.js';
+import {OwnerRoute} from './owner-route.js';
 import {parseRequest, type CallerRequest, type ParsedRequest} from './parse-request.js';
-import type {PeerClient} from './peer-client.js';
+import type {PeerLink} from './peer-client.js';
+
+/** Reasons for which a guard refuses only after its record of outcomes has shown that the id never ran. */
+const reasonsAfterRecord: ReadonlySet<FailureReason> = new Set(['overloaded', 'backend-server-refused']);
 
 /** What a router works with. */
 export type RouterOpts = {
 	readonly node: NodeIdentity;
 	readonly guard: Guard;
-	readonly peers: PeerClient;
+	readonly peers: PeerLink;
 	readonly routing: Published<RoutingTable>;
 	readonly configuration: Published<Configuration>;
+	readonly clock: Clock;
+	readonly random: RandomSource;
+	readonly metrics: Metrics;
 };
 
-/** Sends callers' requests to the owner's node. */
+/** Sends callers' requests to the nodes that may serve them. */
 export class Router {
 	readonly #opts: RouterOpts;
+	readonly #budget = new RetryBudget();
+	readonly #statistics = new BearerStatistics();
+	readonly #ownerRoute: OwnerRoute;
+	readonly #bearerRoute: BearerRoute;
+	readonly #unsubscribe: () => void;
 
 	constructor(opts: RouterOpts) {
 		this.#opts = opts;
+		const sender = new AttemptSender({...opts, statistics: this.#statistics});
+		this.#ownerRoute = new OwnerRoute({...opts, budget: this.#budget, sender});
+		this.#bearerRoute = new BearerRoute({
+			...opts, budget: this.#budget, statistics: this.#statistics, sender,
+		});
+		this.#unsubscribe = opts.routing.subscribe(({members}) => {
+			this.#statistics.expire(new Set(members.map(({vmId}) => vmId)));
+		});
 	}
 
 	/** Routes one request and returns its whole answer or a typed failure. */
@@ -31,21 +60,48 @@
 			return parsed.error;
 		}
 
-		const owner = this.#findOwner(parsed.value);
-		if (owner === undefined) {
-			return createNotRun(parsed.value.requestId, 'no-owner', 'no VM owns the partition at present');
+		const startMs = this.#opts.clock.readMoment().monotonicMs;
+		this.#budget.noteFirstAttempt();
+		const result = await this.#send(parsed.value, signal);
+		this.#report(parsed.value, result, startMs);
+		return toProvedResult(parsed.value, result);
+	}
+
+	/** Stops to follow the routing table. */
+	close(): void {
+		this.#unsubscribe();
+	}
+
+	async #send(parsed: ParsedRequest, signal: AbortSignal): Promise<RequestResult> {
+		const service = this.#opts.configuration.read().services.find(({name}) => name === parsed.service);
+		if (service === undefined) {
+			return createNotRun(parsed.requestId, 'service-unknown', 'the service was withdrawn');
 		}
 
-		const routed = {...parsed.value, target: {vmId: owner.vmId, incarnation: owner.incarnation}};
-		return owner.vmId === this.#opts.node.vmId
-			? this.#opts.guard.handle(routed, signal)
-			: this.#opts.peers.forward(owner.peerOrigin, routed, signal);
+		const {remainingMs, placementKey, divided, isProvedNew, ...others} = parsed;
+		const attempt = {...others, deadlineMs: this.#opts.clock.readMoment().monotonicMs + remainingMs};
+		const request = {attempt, placementKey, service};
+		return !divided && parsed.idempotent ? this.#bearerRoute.send(request, signal) : this.#ownerRoute.send(request, signal);
 	}
 
-	#findOwner(parsed: ParsedRequest): Member | undefined {
-		const {map, members} = this.#opts.routing.read();
-		const index = map.placements.find(({service}) => service === parsed.service)?.owners[parsed.partition] ?? -1;
-		const vmId = map.vmIds[index];
-		return members.find(member => member.vmId === vmId);
+	#report(parsed: ParsedRequest, result: RequestResult, startMs: number): void {
+		const tags = {service: parsed.service, tenant: parsed.tenant, requestClass: parsed.requestClass};
+		this.#opts.metrics.recordValue('request.duration', this.#opts.clock.readMoment().monotonicMs - startMs, tags);
+		if (result.kind === 'answer') {
+			this.#opts.metrics.addCount('request.finished', 1, tags);
+		} else {
+			this.#opts.metrics.addCount('request.failed', 1, {...tags, outcome: result.outcome, reason: result.reason});
+		}
 	}
 }
+
+/**
+ * A refusal proves that this sending did not run. Where the same id may have been sent before, and nobody looked into the
+ * record of outcomes, the request itself may still have run.
+ */
+function toProvedResult(parsed: ParsedRequest, result: RequestResult): RequestResult {
+	const isProved = result.kind === 'answer' || result.outcome === 'outcome-unknown' || parsed.idempotent || parsed.isProvedNew || reasonsAfterRecord.has(result.reason);
+	return isProved
+		? result
+		: {...createOutcomeUnknown(parsed.requestId, result.reason, `this sending did not run; an earlier one may have (${result.message})`), retryAfterMs: result.retryAfterMs};
+}
