--- a/core/routing/src/choose-bearer.ts
+++ b/core/routing/src/choose-bearer.ts
@@ -5,6 +5,7 @@
 const probingShare = 0.02;
 const outlierFactor = 3;
 const minOutlierMs = 5;
+const similarFactor = 1.5;
 
 /** What a choice is made from. */
 export type ChoiceInput = {
@@ -50,8 +51,10 @@
 	return known[Math.floor((known.length - 1) / 2)] ?? 1;
 }
 
+/** Latencies near the median count as equal, so that small differences do not unbalance the load. */
 function measureScore(vmId: VmId, statistics: BearerStatistics, medianMs: number): number {
-	return (statistics.countOutstanding(vmId) + 1) * readLatency(vmId, statistics, medianMs);
+	const latencyMs = readLatency(vmId, statistics, medianMs);
+	return (statistics.countOutstanding(vmId) + 1) * (latencyMs <= medianMs * similarFactor ? medianMs : latencyMs);
 }
 
 function readLatency(vmId: VmId, statistics: BearerStatistics, medianMs: number): number {
