--- a/client/client/src/client.ts
+++ b/client/client/src/client.ts
@@ -72,6 +72,8 @@
 	readonly question: RoutingQuestion;
 	readonly signal: AbortSignal;
 	readonly endMs: number;
+	/** Whether the client has drawn the id, and so knows how often it was sent. */
+	readonly isNew: boolean;
 };
 
 class RequestSender {
@@ -119,7 +121,7 @@
 		return result;
 	}
 
-	async #sendOnce({attempt, question, signal, endMs}: Prepared, document: RoutingDocument, sending: number): Promise<RequestResult> {
+	async #sendOnce({attempt, question, signal, endMs, isNew}: Prepared, document: RoutingDocument, sending: number): Promise<RequestResult> {
 		const origin = chooseNode(question, document, candidate => this.#connections.countRunning(candidate), this.#opts.random);
 		if (origin === undefined) {
 			return createNotRun(attempt.requestId, 'no-owner', 'the routing table names no owner');
@@ -130,7 +132,7 @@
 			return createNotRun(attempt.requestId, 'deadline-exceeded', 'the deadline passed before the request was sent');
 		}
 
-		const headers = {...attempt.headers, 'buckthornpoint-deadline-ms': String(remainingMs), 'buckthornpoint-attempt': String(sending)};
+		const headers = {...attempt.headers, 'buckthornpoint-deadline-ms': String(remainingMs), ...isNew && {'buckthornpoint-attempt': String(sending)}};
 		return this.#connections.send(origin, {...attempt, headers}, signal);
 	}
 
@@ -155,6 +157,7 @@
 				requestId: request.requestId, service, key: request.key, idempotent: rule?.idempotent ?? false,
 			},
 			signal: request.signal === undefined ? timeout : AbortSignal.any([timeout, request.signal]),
+			isNew: request.isNew,
 			endMs: this.#opts.clock.readMoment().monotonicMs + deadlineMs,
 		};
 	}
--- a/core/retries/test/retries.test.ts
+++ b/core/retries/test/retries.test.ts
@@ -12,7 +12,8 @@
 		let spent = 0;
 		for (const [index, isFailed] of fails.entries()) {
 			budget.noteFirstAttempt();
-			for (let extra = 0; isFailed && extra < 3; extra++) {
+			const wanted = isFailed ? 3 : 0;
+			for (let extra = 0; extra < wanted; extra++) {
 				spent += budget.spend() ? 1 : 0;
 			}
 
--- a/node/router/src/parse-request.ts
+++ b/node/router/src/parse-request.ts
@@ -38,7 +38,7 @@
 };
 
 /** Reads the headers of a caller's request, or says all that is wrong with them at once. */
-export function parseRequest(request: CallerRequest, configuration: Configuration): Result<ParsedRequest, RequestFailure> {
+export function parseRequest(request: CallerRequest, configuration: Configuration, wallMs: number): Result<ParsedRequest, RequestFailure> {
 	const findings: Finding[] = [];
 	const givenId = request.headers.get('buckthornpoint-request-id');
 	const requestId = givenId ?? createUuid();
@@ -55,7 +55,7 @@
 
 	return ok({
 		requestId,
-		attempt: (sending ?? 1) * attemptsPerSending,
+		attempt: (sending ?? estimateSending(requestId, wallMs)) * attemptsPerSending,
 		service: service.name,
 		key: key ?? requestId,
 		tenant: service.tenant,
@@ -72,6 +72,12 @@
 	});
 }
 
+/** Numbers a sending of a caller who does not: by the age of the id in milliseconds, so that a later one has a larger number. */
+function estimateSending(requestId: string, wallMs: number): number {
+	const ageMs = wallMs - (readIssueTime(requestId) ?? wallMs);
+	return Math.max(1, Math.min(maxSendings, Math.ceil(ageMs)));
+}
+
 function findService(request: CallerRequest, configuration: Configuration, findings: Finding[]): ServiceConfiguration | undefined {
 	const name = request.headers.get('buckthornpoint-service');
 	const service = configuration.services.find(candidate => candidate.name === name);
--- a/node/router/src/router.ts
+++ b/node/router/src/router.ts
@@ -55,7 +55,7 @@
 
 	/** Routes one request and returns its whole answer or a typed failure. */
 	async route(request: CallerRequest, signal: AbortSignal): Promise<RequestResult> {
-		const parsed = parseRequest(request, this.#opts.configuration.read());
+		const parsed = parseRequest(request, this.#opts.configuration.read(), this.#opts.clock.readMoment().wallMs);
 		if (parsed.isErr()) {
 			return parsed.error;
 		}
