fix: judge latency against the usual one and let a warm limit grow sooner

Change: the usual latency follows faster intervals by a fifth and slower ones by a fiftieth; an interval has at least 10 answers; half of the limit in use is evidence enough; a warm limit grows by a tenth. Shown: tests of admission, routing, retries, client and parsing pass.

--- a/core/admission/src/concurrency-limit.ts
+++ b/core/admission/src/concurrency-limit.ts
@@ -8,19 +8,20 @@
 	readonly coldConcurrency: number;
 };
 
-const minAnswersPerInterval = 5;
+const minAnswersPerInterval = 10;
 const minColdStepMs = 250;
 const maxColdMs = 30_000;
-const slowTolerance = 1.5;
+const slowTolerance = 2;
 const coldTolerance = 4;
 const coldIntervals = 2;
-const usedShare = 0.7;
+const usedShare = 0.5;
+const warmGrowthShare = 0.1;
 const decreaseFactor = 0.9;
 const refusalFactor = 0.7;
 const minRefusalStepMs = 100;
 const minBaselineMs = 5;
-const baselineGrowthPerSecond = 0.02;
-const msPerSecond = 1000;
+const fasterShare = 0.2;
+const slowerShare = 0.02;
 
 type Interval = {
 	readonly answers: number;
@@ -32,7 +33,7 @@
 
 /**
  * How many requests a backend server gets at once. It starts small, grows by one after an interval of answers that were
- * no slower than the best known ones, falls on slower answers and on refusals, and goes back to its start when answers
+ * not much slower than usual, falls on slower answers and on refusals, and goes back to its start when answers
  * become so much slower that the backend server looks cold.
  */
 export class ConcurrencyLimit {
@@ -41,7 +42,6 @@
 	#interval = emptyInterval;
 	#slowIntervals = 0;
 	#baselineMs: number | undefined;
-	#baselineAtMs = 0;
 	#meanLatencyMs = 0;
 	#coldSinceMs: number;
 	#isCold = true;
@@ -93,7 +93,7 @@
 		const {answers, totalLatencyMs, maxRunning} = this.#interval;
 		this.#interval = emptyInterval;
 		this.#meanLatencyMs = totalLatencyMs / answers;
-		const slowness = this.#meanLatencyMs / this.#refreshBaseline(nowMs);
+		const slowness = this.#meanLatencyMs / this.#refreshBaseline();
 		this.#slowIntervals = slowness > coldTolerance ? this.#slowIntervals + 1 : 0;
 		if (this.#slowIntervals >= coldIntervals) {
 			this.#setCold(nowMs);
@@ -106,16 +106,17 @@
 		}
 
 		if (maxRunning >= this.#limit * usedShare && this.#mayGrow(nowMs)) {
-			this.#set(this.#limit + 1, nowMs);
+			this.#set(this.#limit + (this.#isCold ? 1 : Math.max(1, this.#limit * warmGrowthShare)), nowMs);
 		}
 
 		this.#isCold &&= this.#limit < this.#opts.slots && nowMs - this.#coldSinceMs < maxColdMs;
 	}
 
-	#refreshBaseline(nowMs: number): number {
-		const growth = 1 + (baselineGrowthPerSecond * (nowMs - this.#baselineAtMs) / msPerSecond);
-		this.#baselineAtMs = nowMs;
-		this.#baselineMs = Math.min(this.#meanLatencyMs, (this.#baselineMs ?? Number.POSITIVE_INFINITY) * growth);
+	/** The usual latency follows faster answers soon and slower ones late. */
+	#refreshBaseline(): number {
+		const known = this.#baselineMs ?? this.#meanLatencyMs;
+		const share = this.#meanLatencyMs < known ? fasterShare : slowerShare;
+		this.#baselineMs = known + ((this.#meanLatencyMs - known) * share);
 		return Math.max(this.#baselineMs, minBaselineMs);
 	}
 
--- a/core/admission/test/admission.test.ts
+++ b/core/admission/test/admission.test.ts
@@ -19,7 +19,7 @@
 	let nowMs = startMs;
 	for (let interval = 0; interval < opts.count; interval++) {
 		const running = limit.getLimit();
-		for (let answer = 0; answer < Math.max(5, running); answer++) {
+		for (let answer = 0; answer < Math.max(10, running); answer++) {
 			limit.noteAnswer(opts.latencyMs, running, createMoment(nowMs));
 		}
 
