--- a/core/types/src/requests.ts
+++ b/core/types/src/requests.ts
@@ -11,6 +11,8 @@
 	readonly requestId: string;
 	/** Grows with each sending of the id, by the caller or by a node. */
 	readonly attempt: number;
+	/** Whether nothing that was sent before under the id can have run: an owner need not ask the one before it. */
+	readonly isProvedNew: boolean;
 	readonly service: ServiceName;
 	readonly key: string;
 	readonly partition: PartitionNumber;
--- a/node/guard/src/once-gate.ts
+++ b/node/guard/src/once-gate.ts
@@ -141,6 +141,10 @@
 	}
 
 	async #verifyBeforeRun(routed: RoutedRequest): Promise<boolean> {
+		if (routed.isProvedNew) {
+			return true;
+		}
+
 		const controller = new AbortController();
 		const timer = this.#opts.clock.startTimer(Math.min(askTimeoutMs, routed.remainingMs), () => {
 			controller.abort();
--- a/node/guard/test/fake-backend.ts
+++ b/node/guard/test/fake-backend.ts
@@ -156,6 +156,7 @@
 		...partition,
 		requestId,
 		attempt: 1,
+		isProvedNew: false,
 		key: 'lot-1',
 		tenant: 't',
 		idempotent: false,
--- a/node/router/src/convert.ts
+++ b/node/router/src/convert.ts
@@ -31,6 +31,7 @@
 	return ok({
 		requestId: message.requestId,
 		attempt: message.attempt,
+		isProvedNew: message.isProvedNew,
 		service: message.service,
 		key: message.key,
 		partition: message.partition,
--- a/node/router/src/parse-request.ts
+++ b/node/router/src/parse-request.ts
@@ -24,8 +24,8 @@
 	readonly divided: boolean;
 	/** What decides the partition: the key, or the request id where the service is not divided by key. */
 	readonly placementKey: string;
-	/** Whether nothing that was sent before under the id can have run, by the caller's word or because the id is new. */
-	readonly isProvedNew: boolean;
+	/** Whether the caller sends the id for the first time, or vouches for the earlier sendings. */
+	readonly isFirstSending: boolean;
 };
 
 /** A caller's HTTP request with its whole body. */
@@ -53,6 +53,7 @@
 		return err(createFailure(requestId, findings));
 	}
 
+	const isProvedNew = givenId === null || request.headers.get('buckthornpoint-earlier-outcome') === 'not-run';
 	return ok({
 		requestId,
 		attempt: (sending ?? estimateSending(requestId, wallMs)) * attemptsPerSending,
@@ -68,7 +69,8 @@
 		body: request.body,
 		divided: service.divided,
 		placementKey: service.divided ? key ?? requestId : requestId,
-		isProvedNew: givenId === null || sending === 1 || request.headers.get('buckthornpoint-earlier-outcome') === 'not-run',
+		isProvedNew,
+		isFirstSending: isProvedNew || sending === 1,
 	});
 }
 
--- a/node/router/src/router.ts
+++ b/node/router/src/router.ts
@@ -78,7 +78,7 @@
 			return createNotRun(parsed.requestId, 'service-unknown', 'the service was withdrawn');
 		}
 
-		const {remainingMs, placementKey, divided, isProvedNew, ...others} = parsed;
+		const {remainingMs, placementKey, divided, isFirstSending, ...others} = parsed;
 		const attempt = {...others, deadlineMs: this.#opts.clock.readMoment().monotonicMs + remainingMs};
 		const request = {attempt, placementKey, service};
 		return !divided && parsed.idempotent ? this.#bearerRoute.send(request, signal) : this.#ownerRoute.send(request, signal);
@@ -100,7 +100,7 @@
  * record of outcomes, the request itself may still have run.
  */
 function toProvedResult(parsed: ParsedRequest, result: RequestResult): RequestResult {
-	const isProved = result.kind === 'answer' || result.outcome === 'outcome-unknown' || parsed.idempotent || parsed.isProvedNew || reasonsAfterRecord.has(result.reason);
+	const isProved = result.kind === 'answer' || result.outcome === 'outcome-unknown' || parsed.idempotent || parsed.isFirstSending || reasonsAfterRecord.has(result.reason);
 	return isProved
 		? result
 		: {...createOutcomeUnknown(parsed.requestId, result.reason, `this sending did not run; an earlier one may have (${result.message})`), retryAfterMs: result.retryAfterMs};
--- a/node/router/test/parse-request.test.ts
+++ b/node/router/test/parse-request.test.ts
@@ -43,7 +43,7 @@
 	const headers = {'buckthornpoint-service': 'fakturacia', 'buckthornpoint-request-id': requestId, 'buckthornpoint-key': 'farm-3'};
 	const first = parseRequest(createRequest(headers), configuration, wallMs)._unsafeUnwrap();
 	const second = parseRequest(createRequest(headers), configuration, wallMs + 500)._unsafeUnwrap();
-	assert.deepEqual([first.placementKey, first.key, first.isProvedNew], [requestId, 'farm-3', false]);
+	assert.deepEqual([first.placementKey, first.key, first.isFirstSending], [requestId, 'farm-3', false]);
 	assert.ok(second.attempt > first.attempt);
 });
 
@@ -52,5 +52,5 @@
 	const numbered = parseRequest(createRequest({
 		'buckthornpoint-service': 'fakturacia', 'buckthornpoint-request-id': requestId, 'buckthornpoint-attempt': '1',
 	}), configuration, wallMs)._unsafeUnwrap();
-	assert.ok(drawn.isProvedNew && numbered.isProvedNew);
+	assert.ok(drawn.isProvedNew && numbered.isFirstSending && !numbered.isProvedNew);
 });
