perf: hand requests to other nodes over plain streams of the session

Cause: a profile and a trial of single ways showed that the framing of connect-es cost 0.6 to 0.7 ms of processor time for each call at both ends, a stream of the same HTTP/2 session with the same messages 0.2 ms, an HTTP/1.1 call by undici to hono 0.2 ms. The signals joined by AbortSignal.any and the building of a whole Request for each caller cost a further tenth. Change: Forward goes over a plain stream of the session, in the messages of the schema; the session with its probes of silence stays, and so do the connect-es calls for control and for the question for an outcome. Signals are linked for the time of a request. The callers' interface reads the request of Node.js itself. Ruled out: HTTP/1.1 between nodes, as cheap, but without probes that tell a silent connection from a slow answer.

--- a/node/daemon/src/daemon.ts
+++ b/node/daemon/src/daemon.ts
@@ -9,10 +9,12 @@
 import {createCellMachine} from '@buckthornpoint/ownership/create-cell-machine.js';
 import {defaultTiming, type CellTiming} from '@buckthornpoint/ownership/timing.js';
 import {createOperatorApi} from '@buckthornpoint/operator-api/operator-api.js';
+import {connectNodeAdapter} from '@connectrpc/connect-node';
 import {createAskOutcome} from '@buckthornpoint/router/ask-outcome.js';
 import {createCallerApi} from '@buckthornpoint/router/caller-api.js';
+import {createPeerHandler} from '@buckthornpoint/router/forward-handler.js';
 import {PeerClient} from '@buckthornpoint/router/peer-client.js';
-import {registerRequestCalls} from '@buckthornpoint/router/peer-service.js';
+import {registerOutcomeCalls} from '@buckthornpoint/router/peer-service.js';
 import {Router} from '@buckthornpoint/router/router.js';
 import type {NodeSettings} from '@buckthornpoint/settings/settings.js';
 import {HttpTableStore} from '@buckthornpoint/table-store/http-table-store.js';
@@ -88,10 +90,12 @@
 	const router = new Router({
 		node: member, guard, peers, routing: cell.routing, configuration: cell.configuration, clock, random, metrics,
 	});
-	peerServer.serve(connectRouter => {
-		registerRequestCalls(connectRouter, guard);
-		registerCellCalls(connectRouter, cell);
-	});
+	peerServer.serve(createPeerHandler(guard, connectNodeAdapter({
+		routes(connectRouter) {
+			registerOutcomeCalls(connectRouter, guard);
+			registerCellCalls(connectRouter, cell);
+		},
+	})));
 	const watch = new BackendServerWatch(clock, {
 		announce(backendServer) {
 			cell.announce(backendServer);
--- a/node/daemon/src/servers.ts
+++ b/node/daemon/src/servers.ts
@@ -1,10 +1,9 @@
 import {createServer as createHttp2Server, type Http2Server, type ServerHttp2Session} from 'node:http2';
 import type {Server} from 'node:http';
 import type {AddressInfo} from 'node:net';
-import {connectNodeAdapter} from '@connectrpc/connect-node';
-import type {ConnectRouter} from '@connectrpc/connect';
 import {createAdaptorServer} from '@hono/node-server';
 import type {Clock} from '@buckthornpoint/clock/clock.js';
+import type {PeerRequestHandler} from '@buckthornpoint/router/forward-handler.js';
 import type {ListenAddress} from '@buckthornpoint/settings/settings.js';
 import type {Hono} from 'hono';
 
@@ -42,7 +41,7 @@
 /** A server for calls between nodes. It is bound before the parts exist that answer the calls. */
 export type PeerServer = ListeningServer & {
 	/** Begins to answer calls. */
-	serve(routes: (router: ConnectRouter) => void): void;
+	serve(handler: PeerRequestHandler): void;
 };
 
 /** Binds the interface between nodes, HTTP/2 without encryption. */
@@ -59,8 +58,8 @@
 	const finished = waitForClose(server);
 	return {
 		port,
-		serve(routes) {
-			server.on('request', connectNodeAdapter({routes}));
+		serve(handler) {
+			server.on('request', handler);
 		},
 		async drain(clock, graceMs) {
 			server.close();
--- a/node/guard/src/guard.ts
+++ b/node/guard/src/guard.ts
@@ -4,6 +4,7 @@
 import type {Metrics, MetricTags} from '@buckthornpoint/metrics/metrics.js';
 import type {LoadReport} from '@buckthornpoint/ownership/messages.js';
 import type {OwnershipView} from '@buckthornpoint/ownership/ownership-view.js';
+import {createLinkedSignal} from '@buckthornpoint/tasks/linked-signal.js';
 import type {Published} from '@buckthornpoint/tasks/published.js';
 import type {Configuration, ServiceConfiguration} from '@buckthornpoint/types/configuration.js';
 import type {PartitionId} from '@buckthornpoint/types/identity.js';
@@ -132,11 +133,12 @@
 		}
 
 		const running = this.#running.add(routed, {needsGrant: this.#mustHaveGrant(routed)});
+		const linked = createLinkedSignal([signal, running.signal]);
 		const tags = createTags(routed);
 		const arrival = this.#opts.clock.readMoment();
 		try {
 			const admission = await backend.gate.admit({
-				requestClass: routed.requestClass, deadlineMs: deadline.monotonicMs, signal: AbortSignal.any([signal, running.signal]),
+				requestClass: routed.requestClass, deadlineMs: deadline.monotonicMs, signal: linked.signal,
 			});
 			this.#opts.metrics.recordValue('guard.wait', this.#opts.clock.readMoment().monotonicMs - arrival.monotonicMs, tags);
 			switch (admission.kind) {
@@ -156,6 +158,7 @@
 				}
 			}
 		} finally {
+			linked.close();
 			running.close();
 		}
 	}
--- a/node/router/src/caller-api.ts
+++ b/node/router/src/caller-api.ts
@@ -1,4 +1,6 @@
 import {Buffer} from 'node:buffer';
+import type {IncomingMessage} from 'node:http';
+import type {HttpBindings} from '@hono/node-server';
 import {
 	createNotRun, type FailureReason, type RequestFailure, type RequestResult,
 } from '@buckthornpoint/types/requests.js';
@@ -17,29 +19,55 @@
 ]);
 const bodylessStatuses = new Set([204, 205, 304]);
 
-/** Creates the HTTP interface for callers: every path goes to the router. */
-export function createCallerApi(router: Router): Hono {
-	const app = new Hono();
+type Environment = {Bindings: HttpBindings};
+
+/** Creates the HTTP interface for callers: every path goes to the router. It is served by `@hono/node-server`. */
+export function createCallerApi(router: Router): Hono<Environment> {
+	const app = new Hono<Environment>();
 	app.all('/*', async context => {
-		const url = new URL(context.req.url);
-		const requestId = context.req.header(requestIdHeader) ?? '';
-		const body = await readBody(context.req.raw, requestId);
+		const {incoming, outgoing} = context.env;
+		const cancelled = new AbortController();
+		outgoing.once('close', () => {
+			cancelled.abort();
+		});
+		const headers = listHeaders(incoming);
+		const body = await readBody(incoming, headers.get(requestIdHeader) ?? '');
 		return createResponse(body.isOk()
 			? await router.route({
-				method: context.req.method, path: url.pathname + url.search, headers: context.req.raw.headers, body: body.value,
-			}, context.req.raw.signal)
+				method: context.req.method, path: readPath(incoming), headers, body: body.value,
+			}, cancelled.signal)
 			: body.error);
 	});
 	return app;
 }
 
+/** Returns path and query; a target in absolute form is cut down to them. */
+function readPath({url = '/'}: IncomingMessage): string {
+	if (url.startsWith('/')) {
+		return url;
+	}
+
+	const {pathname, search} = new URL(url, 'http://localhost');
+	return pathname + search;
+}
+
+function listHeaders({headers}: IncomingMessage): Headers {
+	const list = new Headers();
+	for (const [name, value] of Object.entries(headers)) {
+		for (const single of Array.isArray(value) ? value : [value ?? '']) {
+			list.append(name, single);
+		}
+	}
+
+	return list;
+}
+
 /** Reads the whole body, up to the limit. */
-async function readBody(request: Request, requestId: string): Promise<Result<Uint8Array, RequestFailure>> {
+async function readBody(incoming: IncomingMessage, requestId: string): Promise<Result<Uint8Array, RequestFailure>> {
 	const chunks: Uint8Array[] = [];
 	let length = 0;
 	try {
-		const body: AsyncIterable<Uint8Array> | readonly Uint8Array[] = request.body ?? [];
-		for await (const chunk of body) {
+		for await (const chunk of incoming as AsyncIterable<Uint8Array>) {
 			length += chunk.length;
 			if (length > maxBodyBytes) {
 				return err(createNotRun(requestId, 'body-too-large', `the body is longer than ${maxBodyBytes} bytes`));
--- /dev/null
+++ b/node/router/src/forward-stream.ts
@@ -0,0 +1,61 @@
+import {Buffer} from 'node:buffer';
+import {constants, type ClientHttp2Stream} from 'node:http2';
+import {fromBinary, toBinary} from '@bufbuild/protobuf';
+import {BuckthornpointError} from '@buckthornpoint/errors/errors.js';
+import {
+	ForwardRequestSchema, ForwardResponseSchema, type ForwardRequest, type ForwardResponse,
+} from '@buckthornpoint/protocol/generated/buckthornpoint/v1/peer_pb.js';
+import type {Http2SessionManager} from '@connectrpc/connect-node';
+import {forwardContentType, forwardPath} from './forward-path.js';
+
+const statusOk = 200;
+
+/**
+ * Hands a request to another node over one stream of the session. The messages are those of the schema; the framing of
+ * connect-es is left out on this way alone, because it costs more than all the rest of the way.
+ */
+export async function exchangeForward(sessions: Http2SessionManager, request: ForwardRequest, signal: AbortSignal): Promise<ForwardResponse> {
+	signal.throwIfAborted();
+	const stream = await sessions.request('POST', forwardPath, {'content-type': forwardContentType}, {});
+	const cancel = (): void => {
+		stream.close(constants.NGHTTP2_CANCEL);
+	};
+
+	signal.addEventListener('abort', cancel, {once: true});
+	try {
+		const bytes = readAnswer(stream);
+		if (signal.aborted) {
+			cancel();
+		}
+
+		stream.end(toBinary(ForwardRequestSchema, request));
+		return fromBinary(ForwardResponseSchema, await bytes);
+	} finally {
+		signal.removeEventListener('abort', cancel);
+	}
+}
+
+async function readAnswer(stream: ClientHttp2Stream): Promise<Uint8Array> {
+	return new Promise((resolve, reject) => {
+		const chunks: Uint8Array[] = [];
+		let status = 0;
+		let hasEnded = false;
+		stream.on('response', headers => {
+			status = headers[':status'] ?? 0;
+		});
+		stream.on('data', (chunk: Uint8Array) => {
+			chunks.push(chunk);
+		});
+		stream.on('end', () => {
+			hasEnded = true;
+		});
+		stream.on('error', reject);
+		stream.on('close', () => {
+			if (hasEnded && !stream.aborted && stream.rstCode === constants.NGHTTP2_NO_ERROR && status === statusOk) {
+				resolve(Buffer.concat(chunks));
+			} else {
+				reject(new BuckthornpointError('ERR_PEER_UNREACHABLE', `the stream ended without a whole answer, with status ${status}`));
+			}
+		});
+	});
+}
--- a/node/router/src/peer-client.ts
+++ b/node/router/src/peer-client.ts
@@ -4,11 +4,13 @@
 import {
 	createNotRun, createOutcomeUnknown, type RequestResult, type RoutedRequest,
 } from '@buckthornpoint/types/requests.js';
+import {createLinkedSignal} from '@buckthornpoint/tasks/linked-signal.js';
 import {createClient, type Client} from '@connectrpc/connect';
 import {createConnectTransport, Http2SessionManager} from '@connectrpc/connect-node';
 import {
 	decodeReport, decodeResult, encodeQuestion, encodeRequest,
 } from './convert.js';
+import {exchangeForward} from './forward-stream.js';
 
 /** A connection that carries requests and no data for this long is probed. */
 const pingIntervalMs = 250;
@@ -40,14 +42,21 @@
 	async forward(peerOrigin: string, routed: RoutedRequest, signal: AbortSignal): Promise<RequestResult> {
 		const peer = this.#getPeer(peerOrigin);
 		const watch = this.#watchConnecting(peerOrigin, peer);
+		const overdue = new AbortController();
+		const linked = createLinkedSignal([signal, overdue.signal]);
+		const timer = this.#clock.startTimer(routed.remainingMs, () => {
+			overdue.abort();
+		});
 		try {
-			const response = await peer.client.forward(encodeRequest(routed), {signal, timeoutMs: Math.max(1, Math.ceil(routed.remainingMs))});
+			const response = await exchangeForward(peer.sessions, encodeRequest(routed), linked.signal);
 			return decodeResult(routed.requestId, response);
 		} catch (error) {
 			return watch.hasTimedOut() || isUnopened(error)
 				? createNotRun(routed.requestId, 'peer-unreachable', 'the owner\'s node accepted no connection')
 				: createOutcomeUnknown(routed.requestId, 'peer-unreachable', `the owner's node did not answer: ${String(error)}`);
 		} finally {
+			timer.close();
+			linked.close();
 			watch.close();
 		}
 	}
