feat: measure time without service and the cost of control on processes

Cause: no figure showed what a loss or a store outage costs the callers. Change: buckthornpoint-recovery runs cells as processes on loopback against the stand-in of the platform, ends or freezes them, takes the store down, and asks for a key of each partition as callers do. The naive version renews a lease row of each node in the store.

--- /dev/null
+++ b/tools/recovery/src/main.ts
@@ -0,0 +1,54 @@
+#!/usr/bin/env node
+import {setMaxListeners} from 'node:events';
+import process from 'node:process';
+import {SystemClock} from '@buckthornpoint/clock/system-clock.js';
+import yargs from 'yargs';
+import {hideBin} from 'yargs/helpers';
+import {measureControlCost} from './control-cost.js';
+import type {Policy} from './process-messages.js';
+import {runScenario, scenarioNames} from './scenarios.js';
+import {formatTable} from './table.js';
+
+const clock = new SystemClock();
+const policies: readonly Policy[] = ['buckthornpoint', 'naive'];
+
+setMaxListeners(0);
+
+await yargs(hideBin(process.argv))
+	.scriptName('buckthornpoint-recovery')
+	.command('without-service', 'Measures how long partitions are without service after a fault, one cell of 9 VMs after the other', {
+		scenario: {
+			array: true, choices: scenarioNames, default: scenarioNames, describe: 'Faults to cause',
+		},
+		policy: {
+			array: true, choices: policies, default: policies, describe: 'Who decides about owners',
+		},
+	}, async ({scenario, policy}) => {
+		const results = [];
+		for (const name of scenario) {
+			for (const decided of policy) {
+				results.push(await runScenario(name, decided, clock));
+			}
+		}
+
+		print(results);
+	})
+	.command('control-cost', 'Measures what an idle cell spends on control', {
+		members: {
+			array: true, type: 'number', default: [10, 13, 40], describe: 'Sizes of the cells',
+		},
+	}, async ({members}) => {
+		const results = [];
+		for (const size of members) {
+			results.push(await measureControlCost(Number(size), clock));
+		}
+
+		print(results);
+	})
+	.demandCommand(1, 'Name a command.')
+	.strict()
+	.parseAsync();
+
+function print(results: ReadonlyArray<Readonly<Record<string, string | number>>>): void {
+	process.stdout.write(`${JSON.stringify(results)}\n\n${formatTable(results)}\n`);
+}
--- /dev/null
+++ b/tools/recovery/src/naive-node.ts
@@ -0,0 +1,103 @@
+import {createServer, type IncomingMessage, type ServerResponse} from 'node:http';
+import type {AddressInfo} from 'node:net';
+import type {Clock} from '@buckthornpoint/clock/clock.js';
+import {findPartition, hashText} from '@buckthornpoint/placement/partition-hash.js';
+import type {NodeSettings} from '@buckthornpoint/settings/settings.js';
+import {HttpTableStore} from '@buckthornpoint/table-store/http-table-store.js';
+import type {TableStore} from '@buckthornpoint/table-store/table-store.js';
+import {request} from 'undici';
+import {keyHeader, partitionCount} from './workload.js';
+
+const leaseMs = 3000;
+const renewalIntervalMs = 1000;
+const forwardTimeoutMs = 250;
+const statusUnavailable = 503;
+
+type NaiveLease = {
+	readonly vmId: string;
+	readonly origin: string;
+	readonly expiresAtWallMs: number;
+};
+
+/** The naive version: every node renews a lease row of its own in the store, and owners follow from the rows that live. */
+class NaiveNode {
+	readonly #vmId: string;
+	readonly #clock: Clock;
+	readonly #store: TableStore;
+	#leases: readonly NaiveLease[] = [];
+	#version = 0;
+
+	constructor(settings: NodeSettings, clock: Clock) {
+		this.#vmId = settings.vmId;
+		this.#clock = clock;
+		this.#store = new HttpTableStore(settings.tableStore);
+	}
+
+	/** Renews the lease and reads those of the others, forever. */
+	async run(origin: string): Promise<void> {
+		while (true) {
+			await this.#renew(origin);
+			const rows = await this.#store.readRows('naive/');
+			this.#leases = rows.map(known => known.map(({value}) => value as NaiveLease)).unwrapOr(this.#leases); // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion
+			await this.#clock.sleep(renewalIntervalMs);
+		}
+	}
+
+	/** Answers a request, or forwards it to the owner of its key. */
+	async handle(incoming: IncomingMessage, response: ServerResponse): Promise<void> {
+		const key = String(incoming.headers[keyHeader]);
+		const owner = this.#findOwner(findPartition(key, partitionCount));
+		response.statusCode = owner === undefined ? statusUnavailable : await this.#askOwner(owner, key);
+		response.end();
+	}
+
+	async #askOwner({vmId, origin}: NaiveLease, key: string): Promise<number> {
+		if (vmId === this.#vmId) {
+			return 200;
+		}
+
+		try {
+			const answer = await request(origin, {headers: {[keyHeader]: key}, signal: AbortSignal.timeout(forwardTimeoutMs)});
+			await answer.body.dump();
+			return answer.statusCode;
+		} catch {
+			return statusUnavailable;
+		}
+	}
+
+	#findOwner(partition: number): NaiveLease | undefined {
+		const {wallMs} = this.#clock.readMoment();
+		const live = this.#leases.filter(({expiresAtWallMs}) => expiresAtWallMs > wallMs);
+		const [owner] = live.toSorted((left, right) => hashText(`${left.vmId}/${partition}`) - hashText(`${right.vmId}/${partition}`));
+		return owner;
+	}
+
+	async #renew(origin: string): Promise<void> {
+		const key = `naive/${this.#vmId}`;
+		const lease: NaiveLease = {vmId: this.#vmId, origin, expiresAtWallMs: this.#clock.readMoment().wallMs + leaseMs};
+		const written = await this.#store.commitTransaction({
+			writeId: `${key}/${this.#version}`, conditions: [{key, version: this.#version}], writes: [{key, value: lease}],
+		});
+		if (written.isOk()) {
+			this.#version++;
+		} else if (written.error.kind !== 'unavailable') {
+			const row = await this.#store.readRow(key);
+			this.#version = row.map(known => known?.version ?? 0).unwrapOr(this.#version);
+		}
+	}
+}
+
+/** Starts a naive node and returns its origin. */
+export async function startNaiveNode(settings: NodeSettings, clock: Clock): Promise<string> {
+	const node = new NaiveNode(settings, clock);
+	const server = createServer((incoming, response) => {
+		void node.handle(incoming, response);
+	});
+	await new Promise<void>(resolve => {
+		server.listen(0, '127.0.0.1', resolve);
+	});
+	const {port} = server.address() as AddressInfo; // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion
+	const origin = `http://127.0.0.1:${port}`;
+	void node.run(origin);
+	return origin;
+}
