--- a/tools/recovery/src/control-cost.ts
+++ b/tools/recovery/src/control-cost.ts
@@ -34,13 +34,14 @@
 
 async function measureIdle(cluster: Cluster, clock: Clock): Promise<ControlCost> {
 	const controller = await cluster.findController();
+	const controllerIndex = controller === undefined ? -1 : cluster.vms.indexOf(controller);
 	const storeBefore = cluster.tableService.use;
 	const before = await Promise.all(cluster.vms.map(async vm => vm.measureUse()));
 	await clock.sleep(measuredMs);
 	const after = await Promise.all(cluster.vms.map(async vm => vm.measureUse()));
 	const storeAfter = cluster.tableService.use;
 	const uses = after.map((use, index) => subtractUse(use, before[index] ?? use));
-	const ofController = uses[cluster.vms.indexOf(controller)];
+	const ofController = uses[controllerIndex];
 	const ofMembers = uses.filter(use => use !== ofController);
 	const seconds = measuredMs / msPerSecond;
 	return {
