--- a/tools/recovery/src/control-cost.ts
+++ b/tools/recovery/src/control-cost.ts
@@ -40,7 +40,7 @@
 	await clock.sleep(measuredMs);
 	const after = await Promise.all(cluster.vms.map(async vm => vm.measureUse()));
 	const storeAfter = cluster.tableService.use;
-	const uses = after.map((use, index) => subtractUse(use, before[index] ?? use));
+	const uses = after.map((use, index) => measureDifference(use, before[index] ?? use));
 	const ofController = uses[controllerIndex];
 	const ofMembers = uses.filter(use => use !== ofController);
 	const seconds = measuredMs / msPerSecond;
@@ -56,7 +56,7 @@
 	};
 }
 
-function subtractUse(after: ProcessUse, before: ProcessUse): ProcessUse {
+function measureDifference(after: ProcessUse, before: ProcessUse): ProcessUse {
 	return {
 		cpuMs: after.cpuMs - before.cpuMs, residentBytes: after.residentBytes, writtenBytes: after.writtenBytes - before.writtenBytes,
 	};
