--- a/node/daemon/src/daemon.ts
+++ b/node/daemon/src/daemon.ts
@@ -13,6 +13,7 @@
 import {createAskOutcome} from '@buckthornpoint/router/ask-outcome.js';
 import {createCallerApi} from '@buckthornpoint/router/caller-api.js';
 import {createPeerHandler} from '@buckthornpoint/router/forward-handler.js';
+import {MemberDirectory} from '@buckthornpoint/router/member-directory.js';
 import {PeerClient} from '@buckthornpoint/router/peer-client.js';
 import {registerOutcomeCalls} from '@buckthornpoint/router/peer-service.js';
 import {Router} from '@buckthornpoint/router/router.js';
@@ -29,6 +30,8 @@
 import {listenForHttp, listenForPeers} from './servers.js';
 
 const drainGraceMs = 10_000;
+/** How long a node that has handed everything over still answers new owners who ask what became of a request. */
+const outcomeLingerMs = 2000;
 
 /** What a daemon is given besides its settings. */
 export type DaemonOpts = {
@@ -75,6 +78,7 @@
 		}),
 	});
 	const peers = new PeerClient(clock);
+	const directory = new MemberDirectory(cell.routing);
 	const guard = new Guard({
 		clock,
 		random,
@@ -82,7 +86,7 @@
 		ownership: cell.ownership,
 		backendServer: cell.backendServer,
 		configuration: cell.configuration,
-		askOutcome: createAskOutcome(peers, cell.routing),
+		askOutcome: createAskOutcome(peers, directory),
 		onDrained(partition) {
 			cell.noteDrained(partition);
 		},
@@ -134,6 +138,7 @@
 	log.write({event: 'node-started', ...member});
 	const close = async () => {
 		watch.close();
+		directory.close();
 		closed.abort();
 		await cell.close();
 		await Promise.all([running, reporting]);
@@ -150,6 +155,7 @@
 		log.write({event: 'node-stopping', vmId: member.vmId});
 		stopping.abort();
 		await cell.requestStop();
+		await clock.sleep(outcomeLingerMs);
 		await Promise.all([callerServer.drain(clock, drainGraceMs), peerServer.drain(clock, drainGraceMs)]);
 		await close();
 	};
--- a/node/router/test/fault-bench.ts
+++ b/node/router/test/fault-bench.ts
@@ -12,6 +12,7 @@
 	createNotRun, createOutcomeUnknown, type RequestResult, type RoutedRequest,
 } from '@buckthornpoint/types/requests.js';
 import {createAskOutcome} from '../src/ask-outcome.js';
+import {MemberDirectory} from '../src/member-directory.js';
 import {Router} from '../src/router.js';
 
 const service = 'nyomda';
@@ -104,7 +105,7 @@
 			backendServer: new Published<BackendServer | undefined>({
 				name: 'n', service, origin: this.#opts.backendOrigin, slots: 18, checksFence: false, incarnation, leaving: false,
 			}),
-			askOutcome: createAskOutcome(link, this.#routing),
+			askOutcome: createAskOutcome(link, new MemberDirectory(this.#routing)),
 			onDrained: ({partition}) => {
 				this.#drains.get(`${vmId}/${partition}`)?.();
 			},
--- /dev/null
+++ b/node/router/test/member-directory.test.ts
@@ -0,0 +1,39 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {Published} from '@buckthornpoint/tasks/published.js';
+import type {Member, RoutingTable} from '@buckthornpoint/types/membership.js';
+import {MemberDirectory} from '../src/member-directory.js';
+
+function createMember(vmId: string, incarnation: string): Member {
+	return {
+		vmId, incarnation, failureDomain: 'fd-1', phase: 'active', callerOrigin: '', peerOrigin: `http://${vmId}/${incarnation}`,
+	};
+}
+
+function createTable(members: readonly Member[]): RoutingTable {
+	return {map: {version: 1, vmIds: [], placements: []}, members};
+}
+
+test('a node that left the routing table can still be asked for outcomes', () => {
+	const leaving = createMember('vm-2', '1');
+	const routing = new Published(createTable([createMember('vm-1', '1'), leaving]));
+	const directory = new MemberDirectory(routing);
+	routing.publish(createTable([createMember('vm-1', '1')]));
+	assert.equal(directory.findPeerOrigin(leaving), 'http://vm-2/1');
+});
+
+test('another run of a node is not taken for the one that is asked for', () => {
+	const directory = new MemberDirectory(new Published(createTable([createMember('vm-2', '2')])));
+	assert.equal(directory.findPeerOrigin({vmId: 'vm-2', incarnation: '1'}), undefined);
+});
+
+test('nodes that left longest ago are forgotten first', () => {
+	const routing = new Published(createTable([]));
+	const directory = new MemberDirectory(routing);
+	for (let index = 0; index < 300; index++) {
+		routing.publish(createTable([createMember(`vm-${index}`, '1')]));
+	}
+
+	assert.equal(directory.findPeerOrigin({vmId: 'vm-0', incarnation: '1'}), undefined);
+	assert.ok(directory.findPeerOrigin({vmId: 'vm-299', incarnation: '1'}));
+});
--- a/tools/load/src/child-process.ts
+++ b/tools/load/src/child-process.ts
@@ -54,15 +54,26 @@
 
 	/** Ends the process at once, as a lost VM does. */
 	async stopAtOnce(): Promise<void> {
+		if (this.#child.exitCode !== null || this.#child.signalCode !== null) {
+			return;
+		}
+
 		const ended = once(this.#child, 'exit');
 		this.#child.kill('SIGKILL');
 		await ended;
 	}
 
 	async #ask(order: ProcessOrder): Promise<ProcessReport> {
-		const answered = once(this.#child, 'message');
+		const ended = new AbortController();
+		const answered = once(this.#child, 'message', {signal: ended.signal});
+		const noteEnd = (): void => {
+			ended.abort();
+		};
+
+		this.#child.once('exit', noteEnd);
 		this.#child.send(order);
 		const [report] = await answered as [ProcessReport]; // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion
+		this.#child.off('exit', noteEnd);
 		if (report.error !== undefined) {
 			throw new Error(report.error);
 		}
--- a/tools/load/src/deployment.ts
+++ b/tools/load/src/deployment.ts
@@ -57,10 +57,28 @@
 			await tableService.close();
 		},
 	};
+	try {
+		await openVms(deployment, {...opts, tableStore});
+		if (plan.releaseNote !== undefined) {
+			await applyNote(vms[0]?.process.callerOrigin ?? '', plan.releaseNote);
+		}
+
+		await waitUntilServed(deployment, clock);
+	} catch (error) {
+		await Promise.all(vms.map(async vm => vm.process.stopAtOnce()));
+		await tableService.close();
+		throw error;
+	}
+
+	return deployment;
+}
+
+async function openVms({plan, vms}: Deployment, opts: DeploymentOpts & {readonly tableStore: string}): Promise<void> {
+	const {tableStore, ...shared} = opts;
 	await Promise.all(vms.map(async (vm, index) => vm.process.open({
 		node: createNodeSettings(plan, index, tableStore),
 		backendServer: {
-			...opts,
+			...shared,
 			name: `${vm.service}-${index + 1}`,
 			service: vm.service,
 			checksFence: false,
@@ -70,12 +88,6 @@
 			seed: index + 1,
 		},
 	})));
-	if (plan.releaseNote !== undefined) {
-		await applyNote(vms[0]?.process.callerOrigin ?? '', plan.releaseNote);
-	}
-
-	await waitUntilServed(deployment, clock);
-	return deployment;
 }
 
 /** Writes a configuration to the row from which nodes read it. */
