--- a/tools/load/src/main.ts
+++ b/tools/load/src/main.ts
@@ -33,7 +33,7 @@
 		printHops(await runHops(clock, await readSettings(String(values.settings), parseHopsSettings)));
 	})
 	.command('experiment <file>', 'Compares the policy with the naive router under a load and a fault', {
-		results: {type: 'string', default: 'tools/load/results', describe: 'Folder for the results as JSON and SVG'},
+		results: {type: 'string', default: 'docs/measurements', describe: 'Folder for the results as JSON and SVG'},
 	}, async values => {
 		const settings = await readSettings(String(values.file), parseExperimentSettings);
 		const steps = await runExperiment(clock, settings, printStep);
