--- a/node/daemon/src/daemon.ts
+++ b/node/daemon/src/daemon.ts
@@ -72,7 +72,7 @@
 			cell: settings.cell, member, timing, configuration: emptyConfiguration,
 		}),
 	});
-	const peers = new PeerClient();
+	const peers = new PeerClient(clock);
 	const guard = new Guard({
 		clock,
 		random,
@@ -86,7 +86,7 @@
 		},
 	});
 	const router = new Router({
-		node: member, guard, peers, routing: cell.routing, configuration: cell.configuration,
+		node: member, guard, peers, routing: cell.routing, configuration: cell.configuration, clock, random, metrics,
 	});
 	peerServer.serve(connectRouter => {
 		registerRequestCalls(connectRouter, guard);
@@ -135,6 +135,8 @@
 		await Promise.all([running, reporting]);
 		await callerServer.close();
 		await peerServer.close();
+		router.close();
+		await peers.close();
 		await guard.close();
 		await store.close();
 		log.write({event: 'node-stopped', vmId: member.vmId});
