fix: keep a node running when a replaced connection to another node fails late

Cause: the library's session manager stops listening to a connection that it has replaced; a probe that ended late, or a GOAWAY, then raised an error that nobody handled and ended the process. Conclusion: one cause of nodes that end is gone; the request policy still has to be measured.

--- a/node/cell/src/connect-transport.ts
+++ b/node/cell/src/connect-transport.ts
@@ -1,5 +1,6 @@
 import {createClient, type Client} from '@connectrpc/connect';
-import {createConnectTransport, Http2SessionManager} from '@connectrpc/connect-node';
+import {PeerSessions} from '@buckthornpoint/protocol/peer-sessions.js';
+import {createConnectTransport} from '@connectrpc/connect-node';
 import type {Clock} from '@buckthornpoint/clock/clock.js';
 import {BuckthornpointError, toBuckthornpointError} from '@buckthornpoint/errors/errors.js';
 import type {Metrics} from '@buckthornpoint/metrics/metrics.js';
@@ -23,7 +24,7 @@
 /** One connection to a peer. A retired one takes no more calls and is closed after its last. */
 type PeerConnection = {
 	readonly client: Client<typeof PeerService>;
-	readonly sessions: Http2SessionManager;
+	readonly sessions: PeerSessions;
 	running: number;
 	retired: boolean;
 };
@@ -84,7 +85,7 @@
 			return known;
 		}
 
-		const sessions = new Http2SessionManager(peerOrigin);
+		const sessions = new PeerSessions(peerOrigin);
 		const client = createClient(PeerService, createConnectTransport({
 			baseUrl: peerOrigin, httpVersion: '2', sessionManager: sessions, acceptCompression: [],
 		}));
--- a/node/router/src/peer-client.ts
+++ b/node/router/src/peer-client.ts
@@ -5,7 +5,8 @@
 	createNotRun, createOutcomeUnknown, type RequestResult, type RoutedRequest,
 } from '@buckthornpoint/types/requests.js';
 import {createClient, type Client} from '@connectrpc/connect';
-import {createConnectTransport, Http2SessionManager} from '@connectrpc/connect-node';
+import {PeerSessions} from '@buckthornpoint/protocol/peer-sessions.js';
+import {createConnectTransport} from '@connectrpc/connect-node';
 import {
 	decodeReport, decodeResult, encodeQuestion, encodeRequest,
 } from './convert.js';
@@ -24,7 +25,7 @@
 
 type Peer = {
 	readonly client: Client<typeof PeerService>;
-	readonly sessions: Http2SessionManager;
+	readonly sessions: PeerSessions;
 };
 
 /** Calls other nodes. Keeps one connection to each, and replaces it when it goes silent. */
@@ -105,7 +106,7 @@
 			return known;
 		}
 
-		const sessions = new Http2SessionManager(peerOrigin, {pingIntervalMs, pingTimeoutMs, idleConnectionTimeoutMs: idleTimeoutMs});
+		const sessions = new PeerSessions(peerOrigin, {pingIntervalMs, pingTimeoutMs, idleConnectionTimeoutMs: idleTimeoutMs});
 		const client = createClient(PeerService, createConnectTransport({baseUrl: peerOrigin, httpVersion: '2', sessionManager: sessions}));
 		const peer = {client, sessions};
 		this.#peers.set(peerOrigin, peer);
