fix: tell the session of every part of an answer that was read

Cause: the session probes a connection that carries requests and has been silent; it hears of read data only when it is told. Change: the Forward stream tells it. Shown: the tests of the router and the session of a planned stop pass.

--- a/node/router/src/forward-stream.ts
+++ b/node/router/src/forward-stream.ts
@@ -23,7 +23,9 @@
 
 	signal.addEventListener('abort', cancel, {once: true});
 	try {
-		const bytes = readAnswer(stream);
+		const bytes = readAnswer(stream, () => {
+			sessions.notifyResponseByteRead(stream);
+		});
 		if (signal.aborted) {
 			cancel();
 		}
@@ -35,7 +37,7 @@
 	}
 }
 
-async function readAnswer(stream: ClientHttp2Stream): Promise<Uint8Array> {
+async function readAnswer(stream: ClientHttp2Stream, onRead: () => void): Promise<Uint8Array> {
 	return new Promise((resolve, reject) => {
 		const chunks: Uint8Array[] = [];
 		let status = 0;
@@ -45,6 +47,7 @@
 		});
 		stream.on('data', (chunk: Uint8Array) => {
 			chunks.push(chunk);
+			onRead();
 		});
 		stream.on('end', () => {
 			hasEnded = true;
