--- a/tools/load/src/deployment.ts
+++ b/tools/load/src/deployment.ts
@@ -1,16 +1,17 @@
-import {StandInBackendServer, type BackendServerOpts} from '@buckthornpoint/backend-server/backend-server.js';
+import {randomUUID} from 'node:crypto';
+import {readFile} from 'node:fs/promises';
+import type {BackendServerOpts} from '@buckthornpoint/backend-server/backend-server.js';
 import type {Clock} from '@buckthornpoint/clock/clock.js';
-import {SeededRandom} from '@buckthornpoint/clock/seeded-random.js';
-import {startDaemon, type Daemon} from '@buckthornpoint/daemon/daemon.js';
-import {SilentLog} from '@buckthornpoint/log/reporters.js';
 import type {NodeSettings} from '@buckthornpoint/settings/settings.js';
 import {TableService} from '@buckthornpoint/table-service/table-service.js';
 import type {Configuration} from '@buckthornpoint/types/configuration.js';
 import {request} from 'undici';
+import {MeasuredProcess} from './child-process.js';
 import {
 	createConfiguration, pickFailureDomain, type DeploymentPlan, type ServicePlan,
 } from './deployments.js';
 
+const operatorKey = 'operator-key-of-the-demo';
 const statusOk = 200;
 const pollMs = 50;
 const setupDeadlineMs = 30_000;
@@ -23,20 +24,18 @@
 	readonly coldStart?: BackendServerOpts['coldStart'];
 };
 
-/** A VM of a deployment that runs in this process. */
+/** A VM of a deployment: a process with a node and a backend server. */
 export type RunningVm = {
-	readonly vmId: string;
 	readonly service: string;
-	readonly daemon: Daemon;
-	readonly backendServer: StandInBackendServer;
+	readonly process: MeasuredProcess;
 };
 
-/** A deployment that runs in this process, on loopback. */
+/** A deployment that runs on loopback, each VM as a process of its own. */
 export type Deployment = {
 	readonly plan: DeploymentPlan;
 	readonly tableService: TableService;
 	readonly vms: readonly RunningVm[];
-	/** Stops the backend servers, the nodes and the table service. */
+	/** Stops all processes and the table service. */
 	close(): Promise<void>;
 };
 
@@ -44,21 +43,37 @@
 export async function startDeployment(plan: DeploymentPlan, clock: Clock, opts: DeploymentOpts): Promise<Deployment> {
 	const tableService = new TableService(clock);
 	const tableStore = await tableService.open();
-	await writeConfiguration(tableStore, createConfiguration(plan));
-	const placed = plan.services.flatMap(service => Array.from({length: service.size}, () => service));
-	const vms = await Promise.all(placed.map(async (service, index) => startVm({
-		plan, service, index, tableStore,
-	}, clock, opts)));
+	if (plan.releaseNote === undefined) {
+		await writeConfiguration(tableStore, createConfiguration(plan));
+	}
+
+	const vms = plan.services.flatMap(service => Array.from({length: service.size}, () => ({service: service.name, process: new MeasuredProcess()})));
 	const deployment: Deployment = {
 		plan,
 		tableService,
 		vms,
 		async close() {
-			await Promise.all(vms.map(async ({daemon}) => daemon.close()));
-			await Promise.all(vms.map(async ({backendServer}) => backendServer.close()));
+			await Promise.all(vms.map(async vm => vm.process.close()));
 			await tableService.close();
 		},
 	};
+	await Promise.all(vms.map(async (vm, index) => vm.process.open({
+		node: createNodeSettings(plan, index, tableStore),
+		backendServer: {
+			...opts,
+			name: `${vm.service}-${index + 1}`,
+			service: vm.service,
+			checksFence: false,
+			incarnation: `${plan.cell}/${index + 1}`,
+			nodeOrigin: '',
+			announceIntervalMs: 500,
+			seed: index + 1,
+		},
+	})));
+	if (plan.releaseNote !== undefined) {
+		await applyNote(vms[0]?.process.callerOrigin ?? '', plan.releaseNote);
+	}
+
 	await waitUntilServed(deployment, clock);
 	return deployment;
 }
@@ -73,52 +88,41 @@
 	await response.body.dump();
 }
 
+/** Applies a release note through the operators' interface of a node. */
+async function applyNote(origin: string, file: string): Promise<void> {
+	const response = await request(`${origin}/v1/operator/notes`, {
+		method: 'POST',
+		headers: {'content-type': 'application/json', authorization: `Bearer ${operatorKey}`},
+		body: JSON.stringify({
+			changeId: randomUUID(), operator: 'demo', checkOnly: false, force: false, file, text: await readFile(file, 'utf8'),
+		}),
+	});
+	const text = await response.body.text();
+	if (response.statusCode !== statusOk) {
+		throw new Error(`the release note ${file} was refused: ${text}`);
+	}
+}
+
 /** Creates the settings of a node of a deployment on loopback. */
 export function createNodeSettings(plan: DeploymentPlan, index: number, tableStore: string): NodeSettings {
 	return {
 		vmId: `${plan.cell}-vm-${index + 1}`,
 		cell: plan.cell,
-		failureDomain: pickFailureDomain(index),
+		failureDomain: pickFailureDomain(plan, index),
 		caller: {host: '127.0.0.1', port: 0},
 		peer: {host: '127.0.0.1', port: 0},
 		tableStore,
 		objectStore: tableStore,
-		operatorKey: 'operator-key-of-the-demo',
+		operatorKey,
 		log: {level: 'error', reporter: 'silent'},
 	};
 }
 
-type VmPlan = {
-	readonly plan: DeploymentPlan;
-	readonly service: ServicePlan;
-	readonly index: number;
-	readonly tableStore: string;
-};
-
-async function startVm({plan, service, index, tableStore}: VmPlan, clock: Clock, opts: DeploymentOpts): Promise<RunningVm> {
-	const settings = createNodeSettings(plan, index, tableStore);
-	const daemon = await startDaemon(settings, {clock, log: new SilentLog()});
-	const backendServer = new StandInBackendServer(clock, {
-		...opts,
-		name: `${service.name}-${index + 1}`,
-		service: service.name,
-		checksFence: false,
-		incarnation: `${settings.vmId}/1`,
-		nodeOrigin: daemon.callerOrigin,
-		announceIntervalMs: 500,
-		random: new SeededRandom(index + 1),
-	});
-	await backendServer.open();
-	return {
-		vmId: settings.vmId, service: service.name, daemon, backendServer,
-	};
-}
-
 async function waitUntilServed({plan, vms}: Deployment, clock: Clock): Promise<void> {
 	const startMs = clock.readMoment().monotonicMs;
 	for (const service of plan.services) {
 		for (let probe = 0; probe < probesPerService; probe++) {
-			const origin = vms[probe % vms.length]?.daemon.callerOrigin ?? '';
+			const origin = vms[probe % vms.length]?.process.callerOrigin ?? '';
 			while (!await probeService(origin, service, `probe-${probe}`)) {
 				if (clock.readMoment().monotonicMs - startMs > setupDeadlineMs) {
 					throw new Error(`${service.name} did not answer within ${setupDeadlineMs} ms of the start`);
@@ -131,8 +135,9 @@
 }
 
 async function probeService(origin: string, service: ServicePlan, key: string): Promise<boolean> {
-	const response = await request(`${origin}${service.lookupPath}`, {
-		method: 'POST', body: key, headers: {'buckthornpoint-service': service.name, 'buckthornpoint-key': key},
+	const method = service.lookupPath === undefined ? 'POST' : 'GET';
+	const response = await request(`${origin}${service.lookupPath ?? service.orderPath ?? '/'}`, {
+		method, headers: {'buckthornpoint-service': service.name, 'buckthornpoint-key': key},
 	});
 	await response.body.dump();
 	return response.statusCode === statusOk;
