--- a/core/ownership/test/cells.ts
+++ b/core/ownership/test/cells.ts
@@ -36,7 +36,8 @@
 export function measureGap(cell: SimulatedCell, durationMs: number): number {
 	const since = new Map<number, number>();
 	let longestMs = 0;
-	for (const endMs = cell.nowMs + durationMs; cell.nowMs < endMs; cell.advance(gapStepMs)) {
+	const endMs = cell.nowMs + durationMs;
+	while (cell.nowMs < endMs) {
 		const unserved = new Set(findUnserved(cell).map(({partition}) => partition));
 		for (const partition of unserved) {
 			since.set(partition, since.get(partition) ?? cell.nowMs);
@@ -46,6 +47,8 @@
 		for (const partition of [...since.keys()].filter(other => !unserved.has(other))) {
 			since.delete(partition);
 		}
+
+		cell.advance(gapStepMs);
 	}
 
 	return longestMs;
