--- a/client/client/src/client.ts
+++ b/client/client/src/client.ts
@@ -61,11 +61,19 @@
 	};
 }
 
+type IdentifiedRequest = ClientRequest & {
+	readonly requestId: string;
+	/** Whether the client has drawn the id. */
+	readonly isNew: boolean;
+};
+
 type Prepared = {
 	readonly attempt: Attempt;
 	readonly question: RoutingQuestion;
 	readonly signal: AbortSignal;
 	readonly endMs: number;
+	/** Whether the client has drawn the id, and so knows how often it was sent. */
+	readonly isNew: boolean;
 };
 
 class RequestSender {
@@ -81,12 +89,13 @@
 
 	async send(request: ClientRequest): Promise<RequestResult> {
 		const requestId = request.requestId ?? createUuid();
+		const isNew = request.requestId === undefined;
 		const loaded = await this.#routing.load();
 		if (loaded.isErr()) {
 			return createNotRun(requestId, 'peer-unreachable', loaded.error.message);
 		}
 
-		const prepared = this.#buildAttempt({...request, requestId}, loaded.value);
+		const prepared = this.#buildAttempt({...request, requestId, isNew}, loaded.value);
 		return 'kind' in prepared ? prepared : this.#sendUntilRun(prepared, loaded.value);
 	}
 
@@ -97,7 +106,7 @@
 	// Sends again only what is proved not to have run because of a stale table or a node that is gone.
 	async #sendUntilRun(prepared: Prepared, known: RoutingDocument): Promise<RequestResult> {
 		let document = known;
-		let result = await this.#sendOnce(prepared, document);
+		let result = await this.#sendOnce(prepared, document, 1);
 		for (let attempts = 1; attempts < maxAttempts && mayRetry(result); attempts++) {
 			await this.#opts.clock.sleep(this.#drawDelay(attempts), prepared.signal);
 			if (prepared.signal.aborted) {
@@ -106,13 +115,13 @@
 
 			const refreshed = await this.#routing.refresh();
 			document = refreshed.unwrapOr(document);
-			result = await this.#sendOnce(prepared, document);
+			result = await this.#sendOnce(prepared, document, attempts + 1);
 		}
 
 		return result;
 	}
 
-	async #sendOnce({attempt, question, signal, endMs}: Prepared, document: RoutingDocument): Promise<RequestResult> {
+	async #sendOnce({attempt, question, signal, endMs, isNew}: Prepared, document: RoutingDocument, sending: number): Promise<RequestResult> {
 		const origin = chooseNode(question, document, candidate => this.#connections.countRunning(candidate), this.#opts.random);
 		if (origin === undefined) {
 			return createNotRun(attempt.requestId, 'no-owner', 'the routing table names no owner');
@@ -123,10 +132,11 @@
 			return createNotRun(attempt.requestId, 'deadline-exceeded', 'the deadline passed before the request was sent');
 		}
 
-		return this.#connections.send(origin, {...attempt, headers: {...attempt.headers, 'buckthornpoint-deadline-ms': String(remainingMs)}}, signal);
+		const headers = {...attempt.headers, 'buckthornpoint-deadline-ms': String(remainingMs), ...isNew && {'buckthornpoint-attempt': String(sending)}};
+		return this.#connections.send(origin, {...attempt, headers}, signal);
 	}
 
-	#buildAttempt(request: ClientRequest & {readonly requestId: string}, document: RoutingDocument): Prepared | RequestResult {
+	#buildAttempt(request: IdentifiedRequest, document: RoutingDocument): Prepared | RequestResult {
 		const service = document.services.find(({name}) => name === request.service);
 		if (service === undefined) {
 			return createNotRun(request.requestId, 'service-unknown', `no service is called ${request.service}`);
@@ -147,6 +157,7 @@
 				requestId: request.requestId, service, key: request.key, idempotent: rule?.idempotent ?? false,
 			},
 			signal: request.signal === undefined ? timeout : AbortSignal.any([timeout, request.signal]),
+			isNew: request.isNew,
 			endMs: this.#opts.clock.readMoment().monotonicMs + deadlineMs,
 		};
 	}
@@ -160,11 +171,13 @@
 	return result.kind === 'failure' && result.outcome === 'not-run' && reroutedReasons.has(result.reason);
 }
 
-function createHeaders(request: ClientRequest & {readonly requestId: string}): Record<string, string> {
+function createHeaders(request: IdentifiedRequest): Record<string, string> {
 	return {
 		...request.headers,
 		'buckthornpoint-service': request.service,
 		'buckthornpoint-request-id': request.requestId,
+		// Sent again only after `not-run`, so a node may prove of an id that was drawn here that it never ran.
+		...request.isNew ? {'buckthornpoint-earlier-outcome': 'not-run'} : {},
 		...request.key === undefined ? {} : {'buckthornpoint-key': request.key},
 		...request.requestClass === undefined ? {} : {'buckthornpoint-class': request.requestClass},
 	};
--- /dev/null
+++ b/core/routing/test/routing.test.ts
@@ -0,0 +1,107 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {SeededRandom} from '@buckthornpoint/clock/seeded-random.js';
+import {type ServiceConfiguration, emptyConfiguration} from '@buckthornpoint/types/configuration.js';
+import type {Member, RoutingTable} from '@buckthornpoint/types/membership.js';
+import fc from 'fast-check';
+import {BearerStatistics} from '../src/bearer-statistics.js';
+import {chooseBearer} from '../src/choose-bearer.js';
+import {findDestination, listBearers} from '../src/find-owner.js';
+import {fallbackPolicy, findPolicy, mayAskForClass} from '../src/find-rule.js';
+
+const service: ServiceConfiguration = {
+	name: 'katalogus', tenant: 'kartonpont', divided: true, partitionCount: 2, maxConnections: 100, coldConcurrency: 4, rules: [
+		{
+			method: 'GET', pathPrefix: '/designs', idempotent: true, requestClass: 'interactive', defaultDeadlineMs: 300,
+		},
+	],
+};
+
+function createMember(vmId: string, changes: Partial<Member> = {}): Member {
+	return {
+		vmId,
+		incarnation: vmId,
+		failureDomain: 'fd-1',
+		phase: 'active',
+		callerOrigin: vmId,
+		peerOrigin: vmId,
+		backendServer: {
+			name: vmId, service: 'katalogus', origin: vmId, slots: 18, checksFence: false, incarnation: vmId, leaving: false,
+		},
+		...changes,
+	};
+}
+
+function chooseMany(statistics: BearerStatistics, candidates: readonly string[]): ReadonlyMap<string, number> {
+	const random = new SeededRandom(2);
+	const counts = new Map<string, number>();
+	for (let index = 0; index < 10_000; index++) {
+		const vmId = chooseBearer({candidates, statistics, random}) ?? '';
+		counts.set(vmId, (counts.get(vmId) ?? 0) + 1);
+	}
+
+	return counts;
+}
+
+test('a request without a rule is not idempotent, and a caller may only ask for a later class', () => {
+	assert.equal(findPolicy(service, 'POST', '/designs/7'), fallbackPolicy);
+	assert.equal(findPolicy(service, 'GET', '/designs?page=2').idempotent, true);
+	assert.equal(findPolicy(service, 'GET', '/prices?from=/designs').idempotent, false);
+	assert.ok(mayAskForClass('service-to-service', 'interactive') && !mayAskForClass('interactive', 'transactional'));
+});
+
+test('a key exception goes to its own owner and partition', () => {
+	const table: RoutingTable = {
+		map: {version: 1, vmIds: ['a', 'b'], placements: [{service: 'katalogus', owners: [0, 0], exceptions: [{key: 'hot', owner: 'b'}]}]}, members: [createMember('a'), createMember('b')],
+	};
+	const hot = findDestination(table, service, 'hot');
+	assert.deepEqual([hot.partition, hot.owner?.vmId], [2, 'b']);
+	assert.equal(findDestination(table, service, 'other').owner?.vmId, 'a');
+});
+
+test('no new work goes to a VM that leaves, stops, is dead or lies in a failure domain that is out', () => {
+	const leaving = createMember('c');
+	const members = [
+		createMember('a'),
+		createMember('b', {phase: 'leaving'}),
+		{...leaving, backendServer: {...leaving.backendServer!, leaving: true}},
+		createMember('d', {failureDomain: 'fd-2'}),
+		createMember('e'),
+		createMember('f'),
+	];
+	const configuration = {
+		...emptyConfiguration, failureDomains: [{name: 'fd-2', out: true}], stoppingVms: ['e'], deadVms: ['f'],
+	};
+	const table = {map: {version: 1, vmIds: [], placements: []}, members};
+	assert.deepEqual(listBearers(table, configuration, 'katalogus').map(({vmId}) => vmId), ['a']);
+});
+
+test('a straggler gets a probing share only, and gets its share back when it answers quickly again', () => {
+	const statistics = new BearerStatistics();
+	const candidates = ['a', 'b', 'c', 'd'];
+	for (const vmId of candidates) {
+		statistics.noteStart(vmId);
+		statistics.noteEnd(vmId, vmId === 'd' ? 100 : 10, 'answered');
+	}
+
+	const slow = chooseMany(statistics, candidates).get('d') ?? 0;
+	assert.ok(slow > 0 && slow < 150, `${slow}`);
+	for (let answer = 0; answer < 40; answer++) {
+		statistics.noteEnd('d', 10, 'answered');
+	}
+
+	assert.ok((chooseMany(statistics, candidates).get('d') ?? 0) > 1000);
+});
+
+test('whatever was measured, a candidate is chosen, and at least half of them stay in use', () => {
+	const latencies = fc.array(fc.double({min: 0, max: 10_000, noNaN: true}), {minLength: 1, maxLength: 12});
+	fc.assert(fc.property(latencies, latenciesMs => {
+		const statistics = new BearerStatistics();
+		const candidates = latenciesMs.map((latencyMs, index) => {
+			statistics.noteEnd(`vm-${index}`, latencyMs, 'answered');
+			return `vm-${index}`;
+		});
+		const random = new SeededRandom(4);
+		assert.ok(candidates.includes(chooseBearer({candidates, statistics, random}) ?? ''));
+	}), {seed: 9, numRuns: 200});
+});
