--- a/core/ownership/test/recovery.test.ts
+++ b/core/ownership/test/recovery.test.ts
@@ -106,7 +106,8 @@
 
 test('a cell whose processes were all replaced starts from the store alone', () => {
 	const cell = createCell(5);
-	for (const vmId of cell.nodes.keys()) {
+	const vmIds = [...cell.nodes.keys()];
+	for (const vmId of vmIds) {
 		cell.startNode(vmId, `fd${Number(vmId.slice(2)) % 3}`);
 	}
 
