--- a/core/ownership/src/cell-state.ts
+++ b/core/ownership/src/cell-state.ts
@@ -140,8 +140,8 @@
 	nextRenewalAtMs: number;
 	storeFailing: boolean;
 	extended: boolean;
-	/** When the answer to the compare-and-set of the takeover came. */
-	readonly acquiredAtMs: number;
+	/** Since when members are known to run no more. */
+	readonly goneSince: Map<string, number>;
 	/** No grant is given before this time. */
 	earliestGrantAtMs: number;
 	/** Until when members that were not heard of are not taken for lost. */
@@ -162,6 +162,10 @@
 	latestGrantsVersion: number;
 	/** Whether grants may have to change. */
 	areGrantsDue: boolean;
+	/** When the earliest lease that a grant waits for is over, in the monotonic clock of the node; infinite when none does. */
+	grantsDueAtMs: number;
+	/** Runs of nodes, by `formatNode`, whose grant list is not what they hold. */
+	readonly staleOrders: Set<string>;
 	/** Since when VMs wait to get their first partitions. */
 	joinPendingSinceMs: number | undefined;
 	/** The VMs that the last plan placed partitions on. */
