--- a/node/guard/src/guard.ts
+++ b/node/guard/src/guard.ts
@@ -202,6 +202,8 @@
 		if (result.kind === 'answer') {
 			backend.limit.noteAnswer(latencyMs, backend.gate.countRunning(), now);
 			this.#meter.record(routed, latencyMs);
+		} else if (result.reason === 'lost-answer') {
+			backend.limit.noteLoss(now);
 		} else if (result.reason !== 'cancelled' && result.reason !== 'lease-not-held') {
 			backend.limit.noteRefusal(now);
 		}
