--- a/node/guard/src/guard.ts
+++ b/node/guard/src/guard.ts
@@ -23,6 +23,7 @@
 const fallbackConnections = 100;
 const fallbackColdConcurrency = 2;
 const spareConnections = 2;
+const cancelDelayMs = 20;
 
 /** What a guard works with. */
 export type GuardOpts = {
@@ -191,6 +192,17 @@
 			return result;
 		} finally {
 			signal.removeEventListener('abort', cancel);
+			this.#releasePlace(backend, running);
+		}
+	}
+
+	/** A request that was given up may occupy the backend server until it has heard of it. */
+	#releasePlace(backend: Backend, running: RunningRequest): void {
+		if (running.signal.aborted) {
+			this.#opts.clock.startTimer(cancelDelayMs, () => {
+				backend.gate.release();
+			});
+		} else {
 			backend.gate.release();
 		}
 	}
