--- a/core/admission/src/concurrency-limit.ts
+++ b/core/admission/src/concurrency-limit.ts
@@ -9,7 +9,9 @@
 };
 
 const minAnswersPerInterval = 10;
-const minColdStepMs = 250;
+const minColdStepMs = 100;
+const minColdAnswers = 20;
+const coldIntervalLimits = 2;
 const maxColdMs = 30_000;
 const slowTolerance = 2;
 const coldTolerance = 4;
@@ -77,7 +79,7 @@
 			this.#meanLatencyMs = latencyMs;
 		}
 
-		if (this.#interval.answers >= Math.max(minAnswersPerInterval, this.getLimit())) {
+		if (this.#interval.answers >= this.#countNeededAnswers()) {
 			this.#closeInterval(now.monotonicMs);
 		}
 	}
@@ -89,6 +91,13 @@
 		}
 	}
 
+	/** A cold backend server has to show more before it gets more. */
+	#countNeededAnswers(): number {
+		return this.#isCold
+			? Math.max(minColdAnswers, this.getLimit() * coldIntervalLimits)
+			: Math.max(minAnswersPerInterval, this.getLimit());
+	}
+
 	#closeInterval(nowMs: number): void {
 		const {answers, totalLatencyMs, maxRunning} = this.#interval;
 		this.#interval = emptyInterval;
--- a/node/guard/src/guard.ts
+++ b/node/guard/src/guard.ts
@@ -13,8 +13,8 @@
 	createNotRun, type FailureReason, type RequestFailure, type RequestResult, type RoutedRequest,
 } from '@buckthornpoint/types/requests.js';
 import {AdmissionGate} from './admission-gate.js';
-import {BackendClient} from './backend-client.js';
-import {checkRight, type Right} from './check-right.js';
+import {BackendClient, isSameRun} from './backend-client.js';
+import {checkRight, measureDeadline} from './check-right.js';
 import {LoadMeter} from './load-meter.js';
 import {OnceGate} from './once-gate.js';
 import type {AskOutcome, OutcomeQuestion, OutcomeReport} from './outcome-question.js';
@@ -24,6 +24,7 @@
 const fallbackConnections = 100;
 const fallbackColdConcurrency = 2;
 const spareConnections = 2;
+const cancelDelayMs = 20;
 
 /** What a guard works with. */
 export type GuardOpts = {
@@ -194,6 +195,17 @@
 			return result;
 		} finally {
 			signal.removeEventListener('abort', cancel);
+			this.#releasePlace(backend, running);
+		}
+	}
+
+	/** A request that was given up may occupy the backend server until it has heard of it. */
+	#releasePlace(backend: Backend, running: RunningRequest): void {
+		if (running.signal.aborted) {
+			this.#opts.clock.startTimer(cancelDelayMs, () => {
+				backend.gate.release();
+			});
+		} else {
 			backend.gate.release();
 		}
 	}
@@ -274,20 +286,10 @@
 	readonly signal: AbortSignal;
 };
 
-/** The time that a backend server is given: never past the lease's end, unless it refuses stale fences itself. */
-function measureDeadline(right: Right, deadline: Moment, opts: {readonly now: Moment; readonly checksFence: boolean}): number {
-	const remainingMs = deadline.monotonicMs - opts.now.monotonicMs;
-	return opts.checksFence ? remainingMs : Math.min(remainingMs, right.leaseEnd.monotonicMs - opts.now.monotonicMs);
-}
-
 function readReason(callerSignal: AbortSignal, ownSignal: AbortSignal): FailureReason {
 	return callerSignal.aborted || !ownSignal.aborted ? 'cancelled' : ownSignal.reason as FailureReason; // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion
 }
 
-function isSameRun(left: BackendServer, right: BackendServer): boolean {
-	return left.incarnation === right.incarnation && left.origin === right.origin && left.slots === right.slots && left.service === right.service;
-}
-
 function createUnreachable(routed: RoutedRequest): RequestFailure {
 	return createNotRun(routed.requestId, 'backend-server-unreachable', 'no backend server has announced itself, or it was replaced');
 }
