--- a/tools/recovery/src/control-cost.ts
+++ b/tools/recovery/src/control-cost.ts
@@ -3,7 +3,7 @@
 import {ServiceWatch} from './service-watch.js';
 import type {ProcessUse} from './process-messages.js';
 
-const settleMs = 6000;
+const settleMs = 25_000;
 const measuredMs = 10_000;
 const msPerSecond = 1000;
 
