--- a/node/router/src/forward-handler.ts
+++ b/node/router/src/forward-handler.ts
@@ -22,26 +22,26 @@
 			return;
 		}
 
-		answerForward(guard, request, response).catch(() => {
+		handleForward(guard, request, response).catch(() => {
 			response.stream.close(constants.NGHTTP2_INTERNAL_ERROR);
 		});
 	};
 }
 
-async function answerForward(guard: Guard, request: Http2ServerRequest, response: Http2ServerResponse): Promise<void> {
+async function handleForward(guard: Guard, request: Http2ServerRequest, response: Http2ServerResponse): Promise<void> {
 	const cancelled = new AbortController();
 	response.on('close', () => {
 		cancelled.abort();
 	});
 	const bytes = await readMessage(request);
 	if (bytes === undefined) {
-		respondEmpty(response, statusTooLarge);
+		replyEmpty(response, statusTooLarge);
 		return;
 	}
 
 	const answer = await handleMessage(guard, bytes, cancelled.signal);
 	if (answer === undefined) {
-		respondEmpty(response, statusInvalid);
+		replyEmpty(response, statusInvalid);
 		return;
 	}
 
@@ -81,7 +81,7 @@
 	return Buffer.concat(chunks);
 }
 
-function respondEmpty(response: Http2ServerResponse, status: number): void {
+function replyEmpty(response: Http2ServerResponse, status: number): void {
 	response.writeHead(status);
 	response.end();
 }
