refactor: decode the records that processes exchange in one place

Cause: the configuration, the map and a backend server were decoded by the same text in three packages each, and the operator's command kept hand-written types of yargs beside the real ones. Change: package codecs of the core; the copies are gone.

--- a/cli/buckthornpoint/src/change-options.ts
+++ b/cli/buckthornpoint/src/change-options.ts
@@ -1,6 +1,7 @@
 import type {ChangeAnswer, ChangeOpts, OperatorFailure} from '@buckthornpoint/configuration/operator-protocol.js';
 import type {Result} from 'neverthrow';
-import type {Arguments, Options} from 'yargs';
+import type {Arguments} from 'yargs';
+import type {CommandOptions} from './command-options.js';
 import type {CommandContext} from './command.js';
 import {exitCodes, type ExitCode} from './exit-codes.js';
 import type {OperatorSettings} from './operator-settings.js';
@@ -11,7 +12,7 @@
 const defaultWaitSeconds = 60;
 
 /** Options of every command that changes something. */
-export const changeOptions: Options = {
+export const changeOptions: CommandOptions = {
 	check: {type: 'boolean', default: false, describe: 'Only say what would change'},
 	wait: {type: 'boolean', default: false, describe: 'Return when every live VM runs the new version'},
 	'wait-seconds': {type: 'number', default: defaultWaitSeconds, describe: 'How long --wait waits'},
--- a/cli/buckthornpoint/src/command.ts
+++ b/cli/buckthornpoint/src/command.ts
@@ -1,5 +1,6 @@
 import type {Clock} from '@buckthornpoint/clock/clock.js';
-import type {Arguments, Options} from 'yargs';
+import type {Arguments} from 'yargs';
+import type {CommandOptions} from './command-options.js';
 import type {ExitCode} from './exit-codes.js';
 
 /** What a command works with besides its arguments. */
@@ -23,7 +24,7 @@
 	/** Name with positional arguments, as yargs writes them: `apply <note>`. */
 	readonly usage: string;
 	readonly summary: string;
-	readonly options: Options;
+	readonly options: CommandOptions;
 	/** Lines for the help: a command and what it does. */
 	readonly examples: ReadonlyArray<readonly [command: string, description: string]>;
 	readonly run: (values: Arguments, context: CommandContext) => Promise<ExitCode>;
--- a/cli/buckthornpoint/src/operator-settings.ts
+++ b/cli/buckthornpoint/src/operator-settings.ts
@@ -7,7 +7,8 @@
 import {
 	err, ok, okAsync, ResultAsync, type Result,
 } from 'neverthrow';
-import type {Arguments, Options} from 'yargs';
+import type {Arguments} from 'yargs';
+import type {CommandOptions} from './command-options.js';
 import type {CommandContext} from './command.js';
 
 /** How the command reaches the nodes. */
@@ -20,7 +21,7 @@
 };
 
 /** Options that every command has. */
-export const connectionOptions: Options = {
+export const connectionOptions: CommandOptions = {
 	node: {type: 'array', string: true, describe: 'Origin of a node; several are tried in order (BUCKTHORNPOINT_NODES)'},
 	settings: {type: 'string', describe: 'Settings file with "nodes", "operatorKey" and "operator" (BUCKTHORNPOINT_SETTINGS)'},
 	json: {type: 'boolean', default: false, describe: 'Print one JSON document for programs'},
--- a/client/client/src/routing-document.ts
+++ b/client/client/src/routing-document.ts
@@ -1,33 +1,14 @@
+import {serviceCodec} from '@buckthornpoint/codecs/configuration-codecs.js';
+import {mapCodec} from '@buckthornpoint/codecs/membership-codecs.js';
 import type {RoutingDocument} from '@buckthornpoint/types/routing-document.js';
 import {
-	array, boolean, Codec, exactly, number, oneOf, string, type Either,
+	array, Codec, number, string, type Either,
 } from 'purify-ts';
 
-const ruleCodec = Codec.interface({
-	method: string,
-	pathPrefix: string,
-	idempotent: boolean,
-	requestClass: oneOf([exactly('interactive'), exactly('transactional'), exactly('service-to-service')]),
-	defaultDeadlineMs: number,
-});
-const serviceCodec = Codec.interface({
-	name: string,
-	tenant: string,
-	divided: boolean,
-	partitionCount: number,
-	maxConnections: number,
-	coldConcurrency: number,
-	rules: array(ruleCodec),
-});
-const placementCodec = Codec.interface({
-	service: string,
-	owners: array(number),
-	exceptions: array(Codec.interface({key: string, owner: string})),
-});
 const documentCodec = Codec.interface({
 	configurationVersion: number,
 	services: array(serviceCodec),
-	map: Codec.interface({version: number, vmIds: array(string), placements: array(placementCodec)}),
+	map: mapCodec,
 	members: array(Codec.interface({vmId: string, incarnation: string, callerOrigin: string})),
 });
 
--- a/node/cell/src/cell-rows.ts
+++ b/node/cell/src/cell-rows.ts
@@ -1,3 +1,5 @@
+import {configurationCodec} from '@buckthornpoint/codecs/configuration-codecs.js';
+import type {RecordDecoder} from '@buckthornpoint/codecs/record-decoder.js';
 import type {Clock} from '@buckthornpoint/clock/clock.js';
 import {toResult} from '@buckthornpoint/documents/either.js';
 import {BuckthornpointError} from '@buckthornpoint/errors/errors.js';
@@ -14,9 +16,7 @@
 import {
 	err, ok, ResultAsync, type Result,
 } from 'neverthrow';
-import {
-	cellCodec, configurationCodec, leaseCodec, type RowDecoder,
-} from './row-codecs.js';
+import {cellCodec, leaseCodec} from './row-codecs.js';
 
 const configurationKey = 'configuration';
 
@@ -95,7 +95,7 @@
 	}
 }
 
-function decodeRow<T>(row: Row | undefined, codec: RowDecoder<T>): Result<Versioned<T>, StoreFailure> {
+function decodeRow<T>(row: Row | undefined, codec: RecordDecoder<T>): Result<Versioned<T>, StoreFailure> {
 	if (row === undefined) {
 		return ok({version: 0, writeId: '', value: undefined});
 	}
--- a/node/daemon/src/announcement-api.ts
+++ b/node/daemon/src/announcement-api.ts
@@ -1,19 +1,13 @@
 import type {HttpBindings} from '@hono/node-server';
+import {backendServerCodec} from '@buckthornpoint/codecs/membership-codecs.js';
 import {toResult} from '@buckthornpoint/documents/either.js';
 import type {BackendServer} from '@buckthornpoint/types/membership.js';
 import {Hono, type Context} from 'hono';
-import {
-	boolean, Codec, number, string,
-} from 'purify-ts';
 
 const statusInvalid = 400;
 const statusForbidden = 403;
 const loopbackAddresses = /^(?:127\.|::1$|::ffff:127\.)/v;
 
-const announcementCodec = Codec.interface({
-	name: string, service: string, origin: string, slots: number, checksFence: boolean, incarnation: string, leaving: boolean,
-});
-
 type Environment = {Bindings: HttpBindings};
 
 /** Creates the HTTP interface on which the backend server beside the node announces itself. Only this VM may. */
@@ -24,7 +18,7 @@
 			return context.json({code: 'ERR_NOT_AUTHORISED', message: 'announcements are accepted from this VM only'}, statusForbidden);
 		}
 
-		const decoded = toResult(announcementCodec.decode(await readJson(context)));
+		const decoded = toResult(backendServerCodec.decode(await readJson(context)));
 		const faults = decoded.isOk() ? listFaults(decoded.value) : [decoded.error];
 		if (decoded.isErr() || faults.length > 0) {
 			return context.json({code: 'ERR_DOCUMENT_TYPE', message: faults.join('; ')}, statusInvalid);
