--- /dev/null
+++ b/core/admission/src/slot-queue.ts
@@ -0,0 +1,210 @@
+import {RateWindow} from './rate-window.js';
+
+/** A request that waits for a slot of the backend server beside. */
+export type SlotRequest = {
+	/** 0 goes first. */
+	readonly priority: number;
+	/** When an answer is worth little any more, on the queue's clock. */
+	readonly targetEndMs: number;
+	/** When nobody waits any more, on the queue's clock. */
+	readonly endMs: number;
+	/** Called once when the request has a slot. */
+	readonly start: () => void;
+	/** Called once, instead of `start`, when the request will get none. */
+	readonly refuse: (refusal: SlotRefusal) => void;
+};
+
+/** Why a request got no slot, and when to come back, in milliseconds. */
+export type SlotRefusal = {
+	readonly reason: 'overloaded' | 'cold' | 'expired' | 'closed';
+	readonly retryAfterMs: number;
+};
+
+/** Limits of a queue. */
+export type SlotQueueOpts = {
+	readonly slots: number;
+};
+
+/** What a queue is doing, as others may be told. */
+export type SlotQueueLoad = {
+	readonly running: number;
+	readonly waiting: number;
+	readonly slots: number;
+	readonly serviceMs: number;
+};
+
+/** Weight of the newest sample in the mean service time: some twenty requests are remembered. */
+const sampleWeight = 0.05;
+
+/** Service time that is assumed before anything was measured, in milliseconds. */
+const firstServiceMs = 50;
+
+/** The shortest and the longest time after which a refused caller is asked to come back, in milliseconds. */
+const minRetryAfterMs = 50;
+const maxRetryAfterMs = 1000;
+
+/** A request is refused when its answer would come later than this part of its target, counted from its arrival here. */
+const patience = 1;
+
+type Waiting = SlotRequest & {isOver: boolean};
+
+/**
+ * The slots of one backend server and the requests that wait for them: by priority, then by arrival. A request
+ * that can't be answered in time is refused when it arrives, not when its time is over.
+ */
+export class SlotQueue {
+	readonly #waiting: Array<Waiting[] | undefined> = [];
+	#slots: number;
+	#running = 0;
+	#waitingCount = 0;
+	#serviceMs = firstServiceMs;
+	#cold: RateWindow | undefined;
+	#isClosed = false;
+
+	constructor(opts: SlotQueueOpts) {
+		this.#slots = opts.slots;
+	}
+
+	setSlots(slots: number): void {
+		this.#slots = slots;
+	}
+
+	/** Bounds the starts a second while the server is cold; undefined lifts the bound. */
+	setColdLimit(perS: number | undefined): void {
+		if (perS === undefined) {
+			this.#cold = undefined;
+		} else if (this.#cold?.limit !== perS) {
+			this.#cold = new RateWindow({limit: perS, spanMs: 1000, past: this.#cold});
+		}
+	}
+
+	/** Starts the request, lets it wait, or refuses it. The returned function takes a waiting request back. */
+	add(request: SlotRequest, nowMs: number): () => void {
+		const refusal = this.#judge(request, nowMs);
+		if (refusal !== undefined) {
+			request.refuse(refusal);
+			return () => undefined;
+		}
+
+		const waiting: Waiting = {...request, isOver: false};
+		(this.#waiting[request.priority] ??= []).push(waiting);
+		this.#waitingCount++;
+		this.startWaiting(nowMs);
+		return () => {
+			this.#removeWaiting(waiting);
+		};
+	}
+
+	/** Takes back the slot of a request that ran for `serviceMs`; undefined where that time says nothing. */
+	release(serviceMs: number | undefined, nowMs: number): void {
+		this.#running--;
+		if (serviceMs !== undefined) {
+			this.#serviceMs += (serviceMs - this.#serviceMs) * sampleWeight;
+		}
+
+		this.startWaiting(nowMs);
+	}
+
+	/** Starts what may start, and refuses what has waited too long. Called whenever time passed. */
+	startWaiting(nowMs: number): void {
+		for (const queue of this.#waiting) {
+			if (queue !== undefined && !this.#startFrom(queue, nowMs)) {
+				return;
+			}
+		}
+	}
+
+	/** Refuses everything that waits and all that comes. */
+	close(): void {
+		this.#isClosed = true;
+		this.refuseWaiting('closed');
+	}
+
+	/** Refuses everything that waits; later requests are welcome. */
+	refuseWaiting(reason: SlotRefusal['reason']): void {
+		for (const queue of this.#waiting) {
+			for (const waiting of (queue ?? []).splice(0)) {
+				if (!waiting.isOver) {
+					this.#removeWaiting(waiting);
+					waiting.refuse({reason, retryAfterMs: minRetryAfterMs});
+				}
+			}
+		}
+	}
+
+	readLoad(): SlotQueueLoad {
+		return {
+			running: this.#running, waiting: this.#waitingCount, slots: this.#slots, serviceMs: this.#serviceMs,
+		};
+	}
+
+	/** Starts what may start of one priority. Returns false when there is no room for more. */
+	#startFrom(queue: Waiting[], nowMs: number): boolean {
+		for (let next = queue[0]; next !== undefined; next = queue[0]) {
+			const isTooLate = nowMs + (this.#serviceMs * minServicePart) >= next.endMs;
+			if (!next.isOver && !isTooLate && (this.#running >= this.#slots || this.#cold?.isFull(nowMs) === true)) {
+				return false;
+			}
+
+			queue.shift();
+			if (next.isOver) {
+				continue;
+			}
+
+			this.#removeWaiting(next);
+			if (isTooLate) {
+				next.refuse({reason: 'expired', retryAfterMs: minRetryAfterMs});
+			} else {
+				this.#running++;
+				this.#cold?.note(nowMs);
+				next.start();
+			}
+		}
+
+		return true;
+	}
+
+	#judge(request: SlotRequest, nowMs: number): SlotRefusal | undefined {
+		if (this.#isClosed) {
+			return {reason: 'closed', retryAfterMs: minRetryAfterMs};
+		}
+
+		const waitMs = this.#estimateWait(request.priority, nowMs);
+		if (waitMs === 0) {
+			return undefined;
+		}
+
+		const latestMs = Math.min(request.endMs, nowMs + ((request.targetEndMs - nowMs) * patience));
+		if (nowMs + waitMs + this.#serviceMs <= latestMs) {
+			return undefined;
+		}
+
+		const reason = this.#cold === undefined ? 'overloaded' : 'cold';
+		return {reason, retryAfterMs: Math.min(maxRetryAfterMs, Math.max(minRetryAfterMs, waitMs))};
+	}
+
+	/** Estimates how long a request of this priority waits for a slot. */
+	#estimateWait(priority: number, nowMs: number): number {
+		let ahead = 0;
+		for (let rank = 0; rank <= priority; rank++) {
+			ahead += this.#waiting[rank]?.length ?? 0;
+		}
+
+		const coldMs = this.#cold === undefined ? 0 : this.#cold.estimateWait(ahead + 1, nowMs);
+		if (this.#running < this.#slots && ahead === 0) {
+			return coldMs;
+		}
+
+		return Math.max(coldMs, (ahead + 1) * this.#serviceMs / Math.max(1, this.#slots));
+	}
+
+	#removeWaiting(waiting: Waiting): void {
+		if (!waiting.isOver) {
+			waiting.isOver = true;
+			this.#waitingCount--;
+		}
+	}
+}
+
+/** A request that has less time left than this part of a usual run is not worth starting. */
+const minServicePart = 0.3;
--- a/core/documents/src/decoders.ts
+++ b/core/documents/src/decoders.ts
@@ -69,6 +69,20 @@
 	};
 }
 
+/** Expects a number within limits, which may have a fraction. */
+export function expectDecimal(opts: NumberOpts): Decoder<number> {
+	return (document, node) => {
+		const value = getValue(node);
+		if (node.type !== 'number' || typeof value !== 'number') {
+			return err([createTypeFinding(document, node, 'a number')]);
+		}
+
+		return value >= opts.min && value <= opts.max
+			? ok(value)
+			: err([createFinding(document, node, 'ERR_DOCUMENT_VALUE', `${value} is not a number from ${opts.min} to ${opts.max}`)]);
+	};
+}
+
 /** Expects true or false. */
 export function expectBoolean(): Decoder<boolean> {
 	return (document, node) => {
--- /dev/null
+++ b/core/key-ranges/src/range-controller.ts
@@ -0,0 +1,284 @@
+import type {
+	BackendView, PlannedMove, ServiceView, VmState,
+} from './controller-state.js';
+import {HandoverTable} from './handover-table.js';
+import {
+	hasOverlap, removeRanges, type BackendKey, type GrantedRange, type KeyRange,
+} from './key-ranges.js';
+import {judgeBackend, type ServiceRules, type SilenceOpts} from './judge-backend.js';
+import type {BackendReport, HeartbeatReply, MemberHeartbeat} from './messages.js';
+import {assignOrphans, planMoves} from './plan-moves.js';
+import {
+	applyOwnerChanges, createRangeMap, type OwnerChange, type RangeMap, type Segment,
+} from './range-map.js';
+import {encodeRangeMap} from './range-map-record.js';
+import {VmTable} from './vm-table.js';
+
+/** Times of a controller, in milliseconds. */
+export type RangeControllerOpts = SilenceOpts & {
+	/** The lease that an answer to a heartbeat gives. */
+	readonly leaseMs: number;
+	/** Time between the first backend server of a service and its first map, so that the others of a start are in it. */
+	readonly gatherMs: number;
+	/** How long entries of VMs that went silent stay in the directory. */
+	readonly forgetMs: number;
+};
+
+/** The begin of a controller's time: what its predecessors left. */
+export type ControllerStart = {
+	readonly epoch: number;
+	readonly maps: readonly RangeMap[];
+	/** Until when earlier controllers may have let nodes grant, on this controller's clock. */
+	readonly earlierLeasesEndMs: number;
+};
+
+/**
+ * Decides who owns which ranges, from heartbeats alone. It does no input or output: it plans maps, its owner
+ * writes them to the store under the condition that no other controller took over, and tells it of the success.
+ * Times are milliseconds of a clock that never counts faster than real time.
+ */
+export class RangeController {
+	readonly epoch: number;
+	readonly #opts: RangeControllerOpts;
+	readonly #vms = new VmTable();
+	readonly #maps = new Map<string, RangeMap>();
+	readonly #leaseEnds = new Map<BackendKey, number>();
+	readonly #handovers = new HandoverTable();
+	readonly #firstSeen = new Map<string, number>();
+	/** Ranges that were planned for a new owner. A write whose answer was lost may still take effect, so the old owner never gets them back. */
+	readonly #withheld = new Map<string, readonly KeyRange[]>();
+	readonly #assignmentVersions = new Map<BackendKey, string>();
+	readonly #earlierLeasesEndMs: number;
+	#moves: readonly PlannedMove[] = [];
+	#counter = 0;
+
+	constructor(start: ControllerStart, opts: RangeControllerOpts) {
+		this.epoch = start.epoch;
+		this.#opts = opts;
+		this.#earlierLeasesEndMs = start.earlierLeasesEndMs;
+		for (const map of start.maps) {
+			this.#maps.set(map.service, map);
+		}
+	}
+
+	/** Takes a heartbeat and answers it. `maxLeaseMs` is what the store allows. */
+	handleHeartbeat(heartbeat: MemberHeartbeat, nowMs: number, maxLeaseMs: number): HeartbeatReply {
+		if (this.#vms.isOutdated(heartbeat)) {
+			return {
+				epoch: this.epoch, leaseMs: 0, assignmentVersion: '', directoryVersion: '', isStoreReached: true,
+			};
+		}
+
+		const {backend} = heartbeat;
+		for (const key of [...this.#vms.note(heartbeat, nowMs), ...this.#listEarlierRuns(heartbeat)]) {
+			this.#vms.noteEnded(key);
+			this.#leaseEnds.delete(key);
+		}
+
+		const hasLease = backend !== undefined && !this.#vms.isEnded(backend.key);
+		const leaseMs = hasLease ? Math.max(0, Math.min(this.#opts.leaseMs, maxLeaseMs)) : 0;
+		if (hasLease) {
+			this.#noteBackend(heartbeat, backend, {nowMs, leaseEndMs: nowMs + leaseMs});
+		}
+
+		const assignmentVersion = backend === undefined ? '' : this.#getAssignmentVersion(backend.key);
+		const directoryVersion = `${this.epoch}.${this.#vms.version}`;
+		return {
+			epoch: this.epoch,
+			leaseMs,
+			assignmentVersion,
+			...(backend !== undefined && backend.assignmentVersion !== assignmentVersion && {assignment: this.#listAssignment(backend)}),
+			directoryVersion,
+			...(heartbeat.directoryVersion !== directoryVersion && {directory: this.#vms.listDirectory()}),
+			...this.#listNewerMaps(heartbeat),
+			isStoreReached: true,
+		};
+	}
+
+	/** Begins moves of ranges that their owners still hold, and returns them: their owners have to be told. */
+	planMoves(rules: ServiceRules, nowMs: number): readonly PlannedMove[] {
+		this.#expireMoves(rules, nowMs);
+		const planned = [...this.#maps.values()].flatMap(map => planMoves(this.#createView(map, rules, nowMs), nowMs));
+		for (const {owner} of planned) {
+			this.#updateAssignment(owner);
+		}
+
+		this.#moves = [...this.#moves, ...planned];
+		return planned;
+	}
+
+	/** Returns the maps that should be written next: first maps, free ranges with their new owners. */
+	planMaps(rules: ServiceRules, nowMs: number): readonly RangeMap[] {
+		return [...rules.dividedServices].flatMap(service => {
+			const map = this.#maps.get(service);
+			return map === undefined ? this.#planFirstMap(service, rules, nowMs) : this.#planNextMap(map, rules, nowMs);
+		});
+	}
+
+	/** Takes note that a map was written. Returns the owners whose assignment changed. */
+	noteWritten(map: RangeMap): readonly BackendKey[] {
+		const earlier = this.#maps.get(map.service);
+		this.#maps.set(map.service, map);
+		this.#withheld.delete(map.service);
+		const changed = map.segments.filter(({fence}) => fence === map.version);
+		const owners = new Set(changed.flatMap(({owner}) => owner === undefined ? [] : [owner]));
+		for (const owner of earlier?.vmOfOwner.keys() ?? []) {
+			if (!map.vmOfOwner.has(owner)) {
+				this.#leaseEnds.delete(owner);
+			}
+		}
+
+		this.#moves = this.#moves.filter(move => move.service !== map.service || !changed.some(segment => hasOverlap(segment, move)));
+		for (const owner of owners) {
+			this.#updateAssignment(owner);
+		}
+
+		return [...owners];
+	}
+
+	/** Returns the VM of a run, as far as it was heard. */
+	findVm(key: BackendKey): VmState | undefined {
+		return this.#vms.findByBackend(key);
+	}
+
+	/** Forgets VMs that have been silent for long. Returns those that were dropped. */
+	removeSilent(nowMs: number): readonly string[] {
+		return this.#vms.removeSilent(nowMs, this.#opts.forgetMs);
+	}
+
+	/** A later run on the VM of an owner proves that the owner is gone, also where this controller never heard of it. */
+	#listEarlierRuns({vmId, backend}: MemberHeartbeat): readonly BackendKey[] {
+		return backend === undefined
+			? []
+			: [...this.#maps.values()].flatMap(({vmOfOwner}) => [...vmOfOwner].filter(([owner, ownerVm]) => ownerVm === vmId && owner !== backend.key).map(([owner]) => owner));
+	}
+
+	#noteBackend(heartbeat: MemberHeartbeat, backend: BackendReport, {nowMs, leaseEndMs}: {readonly nowMs: number; readonly leaseEndMs: number}): void {
+		// Until the node follows this controller, an answer of an earlier one may still reach it.
+		const end = heartbeat.epoch === this.epoch ? leaseEndMs : Math.max(leaseEndMs, this.#earlierLeasesEndMs);
+		this.#leaseEnds.set(backend.key, end);
+		this.#handovers.note(backend.service, backend.released);
+		if (!this.#firstSeen.has(backend.service)) {
+			this.#firstSeen.set(backend.service, nowMs);
+		}
+	}
+
+	#planFirstMap(service: string, rules: ServiceRules, nowMs: number): readonly RangeMap[] {
+		const seenMs = this.#firstSeen.get(service);
+		if (seenMs === undefined || nowMs < seenMs + this.#opts.gatherMs) {
+			return [];
+		}
+
+		const owners = this.#listBackends(service, rules, nowMs).filter(({isEligible}) => isEligible);
+		return owners.length === 0 ? [] : [createRangeMap(service, owners)];
+	}
+
+	#planNextMap(map: RangeMap, rules: ServiceRules, nowMs: number): readonly RangeMap[] {
+		const view = this.#createView(map, rules, nowMs);
+		const withheld = this.#withheld.get(map.service) ?? [];
+		const orphans = map.segments.filter(segment => segment.owner === undefined || this.#isOver(segment.owner, nowMs)
+			|| withheld.some(range => range.from === segment.from && range.to === segment.to));
+		const moved = this.#moves.filter(move => move.service === map.service && this.#isGivenUp(move));
+		const eligible = new Map(view.backends.filter(({isEligible}) => isEligible).map(({key, vmId}) => [key, vmId]));
+		const changes: readonly OwnerChange[] = [
+			...assignOrphans(view, orphans),
+			...moved.flatMap(({from, to, target}) => {
+				const vmId = eligible.get(target);
+				return vmId === undefined
+					? assignOrphans(view, [{
+						from, to, owner: undefined, fence: 0,
+					}])
+					: [{
+						from, to, owner: target, vmId,
+					}];
+			}),
+		];
+		if (changes.length === 0) {
+			return [];
+		}
+
+		this.#setWithheld(map, orphans);
+		return [applyOwnerChanges(map, changes)];
+	}
+
+	#setWithheld(map: RangeMap, orphans: readonly Segment[]): void {
+		this.#withheld.set(map.service, orphans);
+		for (const owner of new Set(orphans.flatMap(segment => segment.owner ?? []))) {
+			this.#updateAssignment(owner);
+		}
+	}
+
+	/** Tells whether an owner can hold nothing any more: its end was proved, or the last lease it may have has passed. */
+	#isOver(owner: BackendKey, nowMs: number): boolean {
+		return this.#vms.isEnded(owner) || nowMs >= (this.#leaseEnds.get(owner) ?? this.#earlierLeasesEndMs);
+	}
+
+	#isGivenUp(move: PlannedMove): boolean {
+		if (this.#vms.isEnded(move.owner)) {
+			return true;
+		}
+
+		const backend = this.findVm(move.owner)?.backend;
+		return backend !== undefined
+			&& backend.assignmentVersion === this.#assignmentVersions.get(move.owner)
+			&& !backend.stillHeld.some(range => hasOverlap(range, move));
+	}
+
+	/** A move whose owner does not follow in time is given up, and the owner keeps the range. */
+	#expireMoves(rules: ServiceRules, nowMs: number): void {
+		const stale = this.#moves.filter(move => nowMs - move.sinceMs > this.#opts.leaseMs
+			&& !this.#mustLeave(move.owner, rules, nowMs) && !this.#isGivenUp(move));
+		for (const {owner} of stale) {
+			this.#updateAssignment(owner);
+		}
+
+		this.#moves = this.#moves.filter(move => !stale.includes(move));
+	}
+
+	#mustLeave(owner: BackendKey, rules: ServiceRules, nowMs: number): boolean {
+		const vm = this.findVm(owner);
+		return vm !== undefined && judgeBackend(vm, rules, {...this.#opts, nowMs})?.mustLeave === true;
+	}
+
+	#createView(map: RangeMap, rules: ServiceRules, nowMs: number): ServiceView {
+		return {
+			map, backends: this.#listBackends(map.service, rules, nowMs), moves: this.#moves.filter(({service}) => service === map.service),
+		};
+	}
+
+	#listBackends(service: string, rules: ServiceRules, nowMs: number): readonly BackendView[] {
+		return this.#vms.listOfService(service).flatMap(vm => judgeBackend(vm, rules, {...this.#opts, nowMs}) ?? []);
+	}
+
+	/** Lists what an owner may be granted: its ranges without those that it was asked to give up or that go to another. */
+	#listAssignment({key, service}: BackendReport): readonly GrantedRange[] {
+		const withheld = this.#withheld.get(service) ?? [];
+		const moves = this.#moves.filter(({owner}) => owner === key);
+		const segments = this.#maps.get(service)?.segments ?? [];
+		return segments
+			.filter(segment => segment.owner === key && !withheld.some(range => hasOverlap(range, segment)))
+			.flatMap(segment => removeRanges(segment, moves).map(range => ({...range, fence: segment.fence})))
+			.map(({from, to, fence}) => {
+				const handover = this.#handovers.findHandover(service, {from, to});
+				return {
+					from, to, fence, ...(handover !== undefined && {handover}),
+				};
+			});
+	}
+
+	#getAssignmentVersion(key: BackendKey): string {
+		const version = this.#assignmentVersions.get(key) ?? `${this.epoch}.0`;
+		this.#assignmentVersions.set(key, version);
+		return version;
+	}
+
+	#updateAssignment(key: BackendKey): void {
+		this.#counter++;
+		this.#assignmentVersions.set(key, `${this.epoch}.${this.#counter}`);
+	}
+
+	#listNewerMaps({mapVersions}: MemberHeartbeat): Pick<HeartbeatReply, 'maps'> {
+		const maps = [...this.#maps.values()].filter(map => (mapVersions[map.service] ?? 0) !== map.version);
+		return maps.length === 0 ? {} : {maps: maps.map(map => encodeRangeMap(map))};
+	}
+}
--- /dev/null
+++ b/core/key-ranges/src/range-member.ts
@@ -0,0 +1,149 @@
+import {
+	hasOverlap, mergeGrants, mergeRanges, removeRanges, type BackendKey, type GrantedRange, type KeyRange, type ReleasedRange,
+} from './key-ranges.js';
+import type {HeartbeatReply} from './messages.js';
+
+/** A backend server's clock may run slower than ours by this share (bound of the platform: 2%, and as much again for ours). */
+const clockDrift = 0.04;
+
+/** Grants shorter than this, in milliseconds, would end before the next heartbeat and are not worth sending. */
+const minHoldMs = 300;
+
+/** Times of a member. */
+export type RangeMemberOpts = {
+	/** How long a grant to the backend server lasts, in milliseconds, where the lease allows. */
+	readonly holdMs: number;
+};
+
+/** What a backend server says of its keys in a heartbeat. */
+export type BackendHolds = {
+	readonly key: BackendKey;
+	readonly holds: readonly KeyRange[];
+	readonly released: readonly ReleasedRange[];
+};
+
+/** What a backend server is to hold, counted from when it sent its heartbeat. Undefined renews nothing. */
+export type Grant = {
+	readonly ranges: readonly GrantedRange[];
+	readonly holdMs: number;
+};
+
+/**
+ * The part of a node that grants ranges to the backend server beside it. It grants only what the controller assigned,
+ * and never beyond the lease. Times are milliseconds of a clock that counts at least as fast as real time.
+ */
+export class RangeMember {
+	readonly #opts: RangeMemberOpts;
+	#epoch = 0;
+	#backend: BackendKey | undefined;
+	#assignment: readonly GrantedRange[] = [];
+	#assignmentVersion = '';
+	#leaseEndMs = Number.NEGATIVE_INFINITY;
+	/** What the backend server may hold, and until when at most. */
+	#mayHold: readonly KeyRange[] = [];
+	#holdEndMs = Number.NEGATIVE_INFINITY;
+	#released: readonly ReleasedRange[] = [];
+
+	constructor(opts: RangeMemberOpts) {
+		this.#opts = opts;
+	}
+
+	get epoch(): number {
+		return this.#epoch;
+	}
+
+	get assignmentVersion(): string {
+		return this.#assignmentVersion;
+	}
+
+	/** Starts over with another run of the backend server. What the earlier run held ended with it. */
+	setBackend(key: BackendKey | undefined): void {
+		if (key !== this.#backend) {
+			this.#backend = key;
+			this.#assignment = [];
+			this.#assignmentVersion = '';
+			this.#leaseEndMs = Number.NEGATIVE_INFINITY;
+			this.#mayHold = [];
+			this.#holdEndMs = Number.NEGATIVE_INFINITY;
+			this.#released = [];
+		}
+	}
+
+	/** Takes over a controller's answer to a heartbeat that was sent at `sentMs` for `backend`. Returns whether the list of ranges changed. */
+	applyReply(reply: HeartbeatReply, sentMs: number, backend: BackendKey | undefined): boolean {
+		if (reply.epoch < this.#epoch) {
+			return false;
+		}
+
+		this.#epoch = reply.epoch;
+		if (backend === undefined || backend !== this.#backend) {
+			return false;
+		}
+
+		if (reply.assignment === undefined && reply.assignmentVersion !== this.#assignmentVersion) {
+			return false;
+		}
+
+		this.#leaseEndMs = reply.leaseMs > 0 ? Math.max(sentMs + reply.leaseMs, this.#leaseEndMs) : this.#leaseEndMs;
+		if (reply.assignment === undefined || reply.assignmentVersion === this.#assignmentVersion) {
+			return false;
+		}
+
+		this.#assignment = mergeGrants(reply.assignment);
+		this.#assignmentVersion = reply.assignmentVersion;
+		this.#released = this.#released.filter(range => !this.#assignment.some(granted => hasOverlap(range, granted)));
+		return true;
+	}
+
+	/** Answers a heartbeat of the backend server with what it is to hold. */
+	grant(holds: BackendHolds, nowMs: number): Grant | undefined {
+		if (holds.key !== this.#backend) {
+			return undefined;
+		}
+
+		this.#noteReleased(holds.released);
+		const holdMs = Math.min(this.#opts.holdMs, (this.#leaseEndMs - nowMs) / (1 + clockDrift));
+		if (this.#assignmentVersion === '' || holdMs < minHoldMs) {
+			// The server goes on with what it holds until its earlier grant ends.
+			this.#mayHold = nowMs < this.#holdEndMs ? mergeRanges([...this.#mayHold, ...holds.holds]) : holds.holds;
+			return undefined;
+		}
+
+		this.#mayHold = mergeRanges([...holds.holds, ...this.#assignment]);
+		this.#holdEndMs = Math.max(this.#holdEndMs, nowMs + (holdMs * (1 + clockDrift)));
+		return {ranges: this.#assignment, holdMs};
+	}
+
+	/** Tells whether the backend server has a grant of the key that is still in force. */
+	isHeld(key: number, nowMs: number): boolean {
+		return nowMs < this.#holdEndMs
+			&& this.#assignment.some(range => range.from <= key && key <= range.to)
+			&& this.#mayHold.some(range => range.from <= key && key <= range.to);
+	}
+
+	/** Lists the ranges that the controller assigned. */
+	listAssigned(): readonly GrantedRange[] {
+		return this.#assignment;
+	}
+
+	/** Lists the ranges outside the assignment that the backend server may still hold. */
+	listStillHeld(nowMs: number): readonly KeyRange[] {
+		if (nowMs >= this.#holdEndMs && this.#holdEndMs > Number.NEGATIVE_INFINITY) {
+			return [];
+		}
+
+		return this.#mayHold.flatMap(held => removeRanges(held, this.#assignment));
+	}
+
+	/** Lists what the backend server released and nobody holds yet, as far as this node knows. */
+	listReleased(): readonly ReleasedRange[] {
+		return this.#released;
+	}
+
+	#noteReleased(released: readonly ReleasedRange[]): void {
+		if (released.length > 0) {
+			const kept = this.#released.filter(range => !released.some(later => hasOverlap(range, later)));
+			this.#released = [...kept, ...released];
+		}
+	}
+}
--- /dev/null
+++ b/core/key-ranges/src/vm-table.ts
@@ -0,0 +1,125 @@
+import type {VmState} from './controller-state.js';
+import type {BackendKey} from './key-ranges.js';
+import type {DirectoryEntry, MemberHeartbeat} from './messages.js';
+
+/** The VMs that a controller heard of, and the runs of backend servers that are proved to be over. */
+export class VmTable {
+	readonly #vms = new Map<string, VmState>();
+	readonly #pastIncarnations = new Set<string>();
+	readonly #ended = new Set<BackendKey>();
+	#version = 0;
+
+	/** Grows with each change that others have to know. */
+	get version(): number {
+		return this.#version;
+	}
+
+	get size(): number {
+		return this.#vms.size;
+	}
+
+	/** Tells whether a heartbeat is of a run that another run of its VM followed. Start times would not order them: clocks are set back. */
+	isOutdated({vmId, incarnation}: MemberHeartbeat): boolean {
+		const known = this.#vms.get(vmId);
+		if (known !== undefined && known.incarnation !== incarnation) {
+			if (this.#pastIncarnations.has(incarnation)) {
+				return true;
+			}
+
+			this.#pastIncarnations.add(known.incarnation);
+		}
+
+		return false;
+	}
+
+	/** Takes over what a heartbeat says. Returns the runs of backend servers that it proves to be over. */
+	note(heartbeat: MemberHeartbeat, nowMs: number): readonly BackendKey[] {
+		const known = this.#vms.get(heartbeat.vmId);
+		const {backend} = heartbeat;
+		const ended = [...heartbeat.ended];
+		if (backend !== undefined) {
+			if (known?.backend !== undefined && known.backend.key !== backend.key) {
+				ended.push(known.backend.key);
+			}
+
+			if (!heartbeat.ended.includes(backend.key)) {
+				// It announced itself again after nobody had listened at its address.
+				this.#ended.delete(backend.key);
+			}
+		}
+
+		for (const key of ended) {
+			this.#ended.add(key);
+		}
+
+		const next: VmState = {
+			vmId: heartbeat.vmId,
+			incarnation: heartbeat.incarnation,
+			address: heartbeat.address,
+			failureDomain: heartbeat.failureDomain,
+			isStopping: heartbeat.isStopping,
+			heardMs: nowMs,
+			...(backend !== undefined && {backend}),
+		};
+		this.#vms.set(heartbeat.vmId, next);
+		if (known === undefined || formatEntry(known) !== formatEntry(next)) {
+			this.#version++;
+		}
+
+		return ended;
+	}
+
+	/** Takes note that a run is over. */
+	noteEnded(key: BackendKey): void {
+		this.#ended.add(key);
+	}
+
+	isEnded(key: BackendKey): boolean {
+		return this.#ended.has(key);
+	}
+
+	/** Returns the VM of a run, as far as it was heard. */
+	findByBackend(key: BackendKey): VmState | undefined {
+		return [...this.#vms.values()].find(({backend}) => backend?.key === key);
+	}
+
+	/** Lists the VMs whose backend server belongs to a service and is not proved to be over. */
+	listOfService(service: string): readonly VmState[] {
+		return [...this.#vms.values()].filter(({backend}) => backend?.service === service && !this.#ended.has(backend.key));
+	}
+
+	listDirectory(): readonly DirectoryEntry[] {
+		return [...this.#vms.values()].map(vm => createEntry(vm));
+	}
+
+	/** Forgets VMs that have been silent for long. Returns those that were dropped. */
+	removeSilent(nowMs: number, forgetMs: number): readonly string[] {
+		const silent = [...this.#vms.values()].filter(vm => nowMs - vm.heardMs > forgetMs).map(({vmId}) => vmId);
+		for (const vmId of silent) {
+			this.#vms.delete(vmId);
+			this.#version++;
+		}
+
+		return silent;
+	}
+}
+
+function createEntry(vm: VmState): DirectoryEntry {
+	const {backend} = vm;
+	return {
+		vmId: vm.vmId,
+		incarnation: vm.incarnation,
+		address: vm.address,
+		failureDomain: vm.failureDomain,
+		isStopping: vm.isStopping,
+		...(backend !== undefined && {
+			backend: {
+				key: backend.key, service: backend.service, state: backend.state, slots: backend.slots, isCold: backend.isCold,
+			},
+		}),
+	};
+}
+
+function formatEntry(vm: VmState): string {
+	return JSON.stringify(createEntry(vm));
+}
--- /dev/null
+++ b/node/backend-link/src/backend-gate.ts
@@ -0,0 +1,299 @@
+import {SlotQueue, type SlotRefusal} from '@buckthornpoint/admission/slot-queue.js';
+import type {Clock} from '@buckthornpoint/clock/clock.js';
+import {createBackendHeaders} from '@buckthornpoint/fleet/headers.js';
+import type {KeyRange} from '@buckthornpoint/key-ranges/key-ranges.js';
+import type {RangeLoad} from '@buckthornpoint/key-ranges/messages.js';
+import type {Exchange} from './backend-connection.js';
+import {BackendPool} from './backend-pool.js';
+import {DemandMeter} from './demand-meter.js';
+import {isAnswerTo, isServerFailure, judgeResponse} from './judge-response.js';
+import {
+	createNotRun, type Outcome, type OwnerLoad, type OwnerRequest,
+} from './outcome.js';
+import {SilenceWatch} from './silence-watch.js';
+
+/** The backend server beside, as it announced itself. */
+export type GateBackend = {
+	readonly id: string;
+	readonly service: string;
+	readonly slots: number;
+	readonly isDivided: boolean;
+	/** Requests a second that it bears while it is cold; undefined while it is warm. */
+	readonly coldPerS: number | undefined;
+	/** Why it takes nothing new, and until when requests that are here may still be sent, on the gate's clock. */
+	readonly leaving?: {readonly reason: 'leaving' | 'evacuated'; readonly lastSendMs: number};
+};
+
+/** What a gate needs. */
+export type BackendGateOpts = {
+	readonly host: string;
+	readonly port: number;
+	readonly clock: Clock;
+	/** Tells whether the backend server has a grant of the key. */
+	readonly isHeld: (key: number) => boolean;
+	/** Called when nobody listens at the server's address: the server is gone. */
+	readonly onRefused: () => void;
+	/** Called with each answer that names the time for which the server stays cold. */
+	readonly onCold: (coldMs: number) => void;
+};
+
+/** A request that was handed to the gate. */
+export type GateTicket = {
+	/** Gives the request up. An idempotent one that runs is broken off; others run to their end. */
+	cancel(): void;
+};
+
+/** How long after the end of a request its connection is broken off, in milliseconds: the server answers by itself at its deadline. */
+const overtimeMs = 80;
+
+/** When to come back to a key whose owner is about to change, in milliseconds: a grant takes up to one heartbeat. */
+const noOwnerRetryMs = 400;
+
+/** When to come back to a server that leaves or is silent, in milliseconds: others are told within this time. */
+const leavingRetryMs = 200;
+
+/** Weight of the newest answer in the share of failures. */
+const failureWeight = 0.08;
+
+const noDivision: readonly KeyRange[] = [];
+
+/** The only way to the backend server beside: it bounds what runs there, and proves what did not run. */
+export class BackendGate {
+	readonly #opts: BackendGateOpts;
+	readonly #queue = new SlotQueue({slots: 1});
+	readonly #meter: DemandMeter;
+	#pool: BackendPool | undefined;
+	#backend: GateBackend | undefined;
+	#failureShare = 0;
+	readonly #silence = new SilenceWatch();
+	#refusals = 0;
+
+	constructor(opts: BackendGateOpts) {
+		this.#opts = opts;
+		this.#meter = new DemandMeter(this.#readNowMs());
+	}
+
+	/** Takes another backend server, another run of it, or its changed state. */
+	setBackend(backend: GateBackend | undefined): void {
+		if (backend?.id !== this.#backend?.id) {
+			this.#pool?.close();
+			this.#pool = undefined;
+			this.#failureShare = 0;
+			this.#silence.noteAlive();
+			this.#refusals = 0;
+			this.#queue.refuseWaiting('closed');
+		}
+
+		this.#backend = backend;
+		if (backend !== undefined) {
+			this.#queue.setSlots(backend.slots);
+			this.#queue.setColdLimit(backend.coldPerS);
+			this.#queue.startWaiting(this.#readNowMs());
+		}
+	}
+
+	/** Takes note of a sign of life, such as a heartbeat. */
+	noteAlive(): void {
+		this.#silence.noteAlive();
+		this.#refusals = 0;
+	}
+
+	/** Runs a request at the backend server, or says why not. `finish` is called once. */
+	admit(request: OwnerRequest, finish: (outcome: Outcome) => void): GateTicket {
+		const nowMs = this.#readNowMs();
+		this.#meter.note(request.key);
+		const refusal = this.#judge(request, nowMs);
+		if (refusal !== undefined) {
+			finish(refusal);
+			return {cancel: () => undefined};
+		}
+
+		let breakOff: (() => void) | undefined;
+		const takeBack = this.#queue.add({
+			priority: request.priority,
+			endMs: nowMs + request.remainingMs,
+			targetEndMs: nowMs + request.targetMs,
+			start: () => {
+				breakOff = this.#run(request, nowMs + request.remainingMs, finish);
+			},
+			refuse(slotRefusal) {
+				finish(convertRefusal(slotRefusal));
+			},
+		}, nowMs);
+		return {
+			cancel() {
+				if (breakOff === undefined) {
+					takeBack();
+				} else if (request.isIdempotent) {
+					breakOff();
+				}
+			},
+		};
+	}
+
+	/** Lets time pass: starts and refuses what waits, counts demand, closes idle connections. */
+	advance(): void {
+		const nowMs = this.#readNowMs();
+		this.#queue.startWaiting(nowMs);
+		this.#meter.advance(nowMs);
+		this.#pool?.closeIdle();
+	}
+
+	readLoad(): OwnerLoad {
+		const {running, waiting, slots, serviceMs} = this.#queue.readLoad();
+		return {
+			outstanding: running + waiting, slots, serviceMs: Math.round(serviceMs), failureShare: Math.round(this.#failureShare * 100) / 100,
+		};
+	}
+
+	/** Work offered as a share of the slots; a server that fails requests counts as fuller than it is. */
+	readDemand(): number {
+		const {slots, serviceMs} = this.#queue.readLoad();
+		return (this.#meter.perS * serviceMs / 1000 / Math.max(1, slots)) + this.#failureShare;
+	}
+
+	listRangeLoads(ranges: readonly KeyRange[]): readonly RangeLoad[] {
+		return this.#backend?.isDivided === true ? this.#meter.listRangeLoads(ranges) : this.#meter.listRangeLoads(noDivision);
+	}
+
+	/** Refuses what waits and whatever comes; what runs goes on. */
+	stop(): void {
+		this.#queue.close();
+	}
+
+	countRunning(): number {
+		return this.#queue.readLoad().running;
+	}
+
+	close(): void {
+		this.#queue.close();
+		this.#pool?.close();
+	}
+
+	#judge(request: OwnerRequest, nowMs: number): Outcome | undefined {
+		const backend = this.#backend;
+		if (backend === undefined) {
+			return createNotRun('no-backend', leavingRetryMs);
+		}
+
+		if (backend.service !== request.service) {
+			return createNotRun('no-node', leavingRetryMs);
+		}
+
+		if (backend.isDivided && request.key !== undefined && !this.#opts.isHeld(request.key)) {
+			return createNotRun('not-held', noOwnerRetryMs);
+		}
+
+		if (backend.leaving !== undefined && (!backend.isDivided || nowMs >= backend.leaving.lastSendMs)) {
+			return createNotRun(backend.leaving.reason, leavingRetryMs);
+		}
+
+		return this.#silence.mayTry(nowMs) ? undefined : createNotRun('silent', leavingRetryMs);
+	}
+
+	#run(request: OwnerRequest, endMs: number, finish: (outcome: Outcome) => void): () => void {
+		const startMs = this.#readNowMs();
+		const backend = this.#backend;
+		const refusal = backend === undefined ? createNotRun('no-backend', leavingRetryMs) : this.#judgeStart(request, backend, startMs);
+		if (refusal !== undefined || backend === undefined) {
+			// The slot is given back once the queue has taken note that it was given away.
+			queueMicrotask(() => {
+				this.#queue.release(undefined, this.#readNowMs());
+			});
+			finish(refusal ?? createNotRun('no-backend', leavingRetryMs));
+			return () => undefined;
+		}
+
+		let isTimedOut = false;
+		let isCancelled = false;
+		const timer = this.#opts.clock.startTimer(endMs - startMs + overtimeMs, () => {
+			isTimedOut = true;
+			breakOff();
+		});
+		const breakOff = this.#getPool().send({
+			method: request.method,
+			path: request.path,
+			headers: createBackendHeaders(request.headers, {remainingMs: endMs - startMs, backendId: backend.id, callerService: request.callerService}),
+			body: request.body,
+		}, request.requestId, exchange => {
+			timer.close();
+			const outcome = isCancelled ? {kind: 'unknown', reason: 'cancelled'} as const : this.#judgeExchange(exchange, isTimedOut);
+			const isRun = exchange.kind === 'answered' && outcome.kind === 'answer';
+			this.#noteOutcome(outcome, isTimedOut);
+			this.#queue.release(isRun ? this.#readNowMs() - startMs : undefined, this.#readNowMs());
+			finish(outcome);
+		});
+		return () => {
+			isCancelled = true;
+			breakOff();
+		};
+	}
+
+	/** A request may have waited while its key moved away or the server began to leave. */
+	#judgeStart(request: OwnerRequest, backend: GateBackend, nowMs: number): Outcome | undefined {
+		if (backend.service !== request.service) {
+			return createNotRun('no-node', leavingRetryMs);
+		}
+
+		if (backend.isDivided && request.key !== undefined && !this.#opts.isHeld(request.key)) {
+			return createNotRun('not-held', noOwnerRetryMs);
+		}
+
+		return backend.leaving !== undefined && nowMs >= backend.leaving.lastSendMs ? createNotRun(backend.leaving.reason, leavingRetryMs) : undefined;
+	}
+
+	#judgeExchange(exchange: Exchange, isTimedOut: boolean): Outcome {
+		if (exchange.kind === 'not-sent') {
+			this.#noteRefused(exchange.isRefused);
+			return createNotRun(exchange.isRefused ? 'connection-refused' : 'connection-lost', leavingRetryMs);
+		}
+
+		if (exchange.kind === 'lost') {
+			return {kind: 'unknown', reason: isTimedOut ? 'timeout' : 'connection-lost'};
+		}
+
+		const {outcome, coldMs} = judgeResponse(exchange.response);
+		this.#refusals = 0;
+		if (coldMs !== undefined) {
+			this.#opts.onCold(coldMs);
+		}
+
+		return outcome;
+	}
+
+	#noteOutcome(outcome: Outcome, isTimedOut: boolean): void {
+		this.#failureShare += ((isServerFailure(outcome) ? 1 : 0) - this.#failureShare) * failureWeight;
+		if (isTimedOut) {
+			this.#silence.noteTimeout();
+		} else if (outcome.kind === 'answer') {
+			this.#silence.noteAlive();
+		}
+	}
+
+	#noteRefused(isRefused: boolean): void {
+		if (isRefused) {
+			this.#refusals++;
+			if (this.#refusals === 2) {
+				this.#opts.onRefused();
+			}
+		}
+	}
+
+	#getPool(): BackendPool {
+		this.#pool ??= new BackendPool({
+			host: this.#opts.host,
+			port: this.#opts.port,
+			readNowMs: () => this.#readNowMs(),
+			isAnswerTo,
+		});
+		return this.#pool;
+	}
+
+	#readNowMs(): number {
+		return this.#opts.clock.readMoment().monotonicMs;
+	}
+}
+
+function convertRefusal({reason, retryAfterMs}: SlotRefusal): Outcome {
+	return createNotRun(reason, retryAfterMs);
+}
--- /dev/null
+++ b/node/backend-link/src/outcome.ts
@@ -0,0 +1,52 @@
+/** A request as the node beside the owner gets it. */
+export type OwnerRequest = {
+	readonly requestId: string;
+	readonly method: string;
+	readonly path: string;
+	/** The caller's headers that go on to the backend server: name, value, name, value. */
+	readonly headers: readonly string[];
+	readonly body: Uint8Array;
+	/** The key of a divided service. */
+	readonly key: number | undefined;
+	readonly service: string;
+	/** The service on the VM where the request began. */
+	readonly callerService: string;
+	readonly priority: number;
+	readonly isIdempotent: boolean;
+	/** Time until nobody waits any more, in milliseconds. */
+	readonly remainingMs: number;
+	/** Time until the answer is worth little, in milliseconds; may be negative. */
+	readonly targetMs: number;
+};
+
+/** Why a request was not run, or not answered. */
+export type OutcomeReason
+	= | 'no-configuration' | 'no-owner' | 'no-node' | 'not-held' | 'no-backend' | 'leaving' | 'evacuated' | 'silent' | 'overloaded' | 'cold' | 'expired' | 'closed'
+		| 'refused-by-backend' | 'connection-refused' | 'connection-lost' | 'garbled' | 'timeout' | 'cancelled' | 'peer-lost' | 'peer-unreachable' | 'stopping';
+
+/** What became of a request at the node beside the owner. */
+export type Outcome
+	/** The backend server's whole answer. */
+	= | {readonly kind: 'answer'; readonly status: number; readonly headers: readonly string[]; readonly body: Uint8Array}
+		/** Proved: no backend server began the request. `wasOffered` where it was sent to one that refused it. */
+		| {readonly kind: 'not-run'; readonly reason: OutcomeReason; readonly retryAfterMs: number; readonly wasOffered: boolean}
+		/** A backend server may have run the request. */
+		| {readonly kind: 'unknown'; readonly reason: OutcomeReason};
+
+/** What a node reports of the backend server beside it with each answer. */
+export type OwnerLoad = {
+	/** Requests that run or wait. */
+	readonly outstanding: number;
+	readonly slots: number;
+	/** Mean time of a run, in milliseconds. */
+	readonly serviceMs: number;
+	/** Share of the latest requests that the server failed or refused. */
+	readonly failureShare: number;
+};
+
+/** Creates the outcome of a request that was not run. */
+export function createNotRun(reason: OutcomeReason, retryAfterMs: number, wasOffered = false): Outcome {
+	return {
+		kind: 'not-run', reason, retryAfterMs, wasOffered,
+	};
+}
--- /dev/null
+++ b/node/cell-link/src/controller-record.ts
@@ -0,0 +1,52 @@
+import {toResult} from '@buckthornpoint/documents/either.js';
+import type {Result} from 'neverthrow';
+import {Codec, number, string} from 'purify-ts';
+
+/** The table of the cell's own rows. */
+export const cellTable = 'cell';
+
+/** The row that says who is controller. */
+export const controllerKey = 'controller';
+
+const mapPrefix = 'ranges/';
+
+/** Who is controller, and until when others stay back. Times are milliseconds of the store's clock. */
+export type ControllerRecord = {
+	/** Grows with each takeover. */
+	readonly epoch: number;
+	readonly vmId: string;
+	readonly incarnation: string;
+	readonly address: string;
+	/** Until then nobody else takes over, unless the controller's process is proved to be over. */
+	readonly untilMs: number;
+	/** No lease that this controller or an earlier one gave ends later. */
+	readonly leasesEndMs: number;
+};
+
+const recordCodec = Codec.interface({
+	epoch: number, vmId: string, incarnation: string, address: string, untilMs: number, leasesEndMs: number,
+});
+
+/** Returns the key of the row that holds the owners of a service's keys. */
+export function getMapKey(service: string): string {
+	return `${mapPrefix}${service}`;
+}
+
+/** Tells whether a row holds the owners of a service's keys. */
+export function isMapKey(key: string): boolean {
+	return key.startsWith(mapPrefix);
+}
+
+/** Decodes the controller's row. */
+export function decodeControllerRecord(text: string): Result<ControllerRecord, string> {
+	return toResult(recordCodec.decode(parseJson(text)));
+}
+
+function parseJson(text: string): unknown {
+	try {
+		return JSON.parse(text);
+	} catch {
+		// The decoder says what it expected instead.
+		return undefined;
+	}
+}
--- /dev/null
+++ b/node/cell-link/src/member-task.ts
@@ -0,0 +1,154 @@
+import type {Clock, Timer} from '@buckthornpoint/clock/clock.js';
+import type {LapseClock} from '@buckthornpoint/clock/lapse-clock.js';
+import type {RandomSource} from '@buckthornpoint/clock/random.js';
+import type {BackendKey} from '@buckthornpoint/key-ranges/key-ranges.js';
+import type {HeartbeatReply, MemberHeartbeat} from '@buckthornpoint/key-ranges/messages.js';
+import type {PeerLinks} from '@buckthornpoint/peers/peer-links.js';
+import type {ControlTask} from './control-task.js';
+
+/** A call between nodes that carries a heartbeat, and its answer. */
+export type ControlCall = {readonly heartbeat: MemberHeartbeat};
+export type ControlAnswer = {readonly reply?: HeartbeatReply};
+
+/** What a member task reports. */
+export type MemberEvent
+	= | {readonly kind: 'controller-found'; readonly address: string}
+		| {readonly kind: 'controller-lost'; readonly address: string; readonly silentMs: number};
+
+/** What a member task works with. */
+export type MemberTaskOpts = {
+	readonly address: string;
+	readonly control: ControlTask;
+	readonly links: PeerLinks;
+	readonly clock: Clock;
+	readonly lapseClock: LapseClock;
+	readonly random: RandomSource;
+	readonly createHeartbeat: () => MemberHeartbeat;
+	/** Takes an answer, with when the heartbeat was sent and for which run of the backend server. */
+	readonly applyReply: (reply: HeartbeatReply, sentMs: number, backend: BackendKey | undefined) => void;
+	readonly onEvent: (event: MemberEvent) => void;
+};
+
+/** How often a heartbeat is sent, in milliseconds: two fit into the time after which a node counts as silent. */
+const heartbeatMs = 500;
+
+/** The least time between two heartbeats, in milliseconds, however much changes. */
+const minHeartbeatMs = 40;
+
+/** How long an answer to a heartbeat is waited for, in milliseconds. */
+const answerMs = 450;
+
+/** A controller without an answer for this long is looked for anew, in milliseconds. */
+const lostMs = 1200;
+
+/** Nodes look for a controller at different moments, spread over this time, in milliseconds. */
+const searchSpreadMs = 500;
+
+/** Sends heartbeats to the controller and finds out who it is. */
+export class MemberTask {
+	readonly #opts: MemberTaskOpts;
+	#address: string | undefined;
+	#heardMs = Number.NEGATIVE_INFINITY;
+	#sentMs = Number.NEGATIVE_INFINITY;
+	#timer: Timer | undefined;
+	#isSending = false;
+	#isWoken = false;
+	#isClosed = false;
+	#nextSearchMs = Number.NEGATIVE_INFINITY;
+	#unreachedSinceMs: number | undefined;
+
+	constructor(opts: MemberTaskOpts) {
+		this.#opts = opts;
+	}
+
+	start(): void {
+		this.#startTimer(0);
+	}
+
+	/** Sends a heartbeat soon: something changed that the controller should know. */
+	requestHeartbeat(): void {
+		this.#isWoken = true;
+		if (!this.#isSending) {
+			this.#startTimer(Math.max(0, minHeartbeatMs - (this.#readNowMs() - this.#sentMs)));
+		}
+	}
+
+	/** Answers a control call of another node. */
+	handleCall(call: ControlCall): ControlAnswer {
+		const reply = this.#opts.control.handleHeartbeat(call.heartbeat);
+		return reply === undefined ? {} : {reply};
+	}
+
+	close(): void {
+		this.#isClosed = true;
+		this.#timer?.close();
+	}
+
+	#startTimer(delayMs: number): void {
+		this.#timer?.close();
+		if (!this.#isClosed) {
+			this.#timer = this.#opts.clock.startTimer(delayMs, () => {
+				void this.#run();
+			});
+		}
+	}
+
+	async #run(): Promise<void> {
+		this.#isSending = true;
+		this.#isWoken = false;
+		try {
+			await this.#findController();
+			await this.#exchange();
+		} finally {
+			this.#isSending = false;
+			this.#startTimer(this.#isWoken ? minHeartbeatMs : heartbeatMs * (0.9 + (0.2 * this.#opts.random.drawFraction())));
+		}
+	}
+
+	/** Looks for the controller where none is known, or where the one that is known lost touch with the store. */
+	async #findController(): Promise<void> {
+		const nowMs = this.#readNowMs();
+		const isLost = this.#address === undefined || nowMs - this.#heardMs >= lostMs;
+		const isUnreached = this.#unreachedSinceMs !== undefined && nowMs - this.#unreachedSinceMs >= lostMs;
+		if ((!isLost && !isUnreached) || this.#opts.control.isLeading || nowMs < this.#nextSearchMs) {
+			return;
+		}
+
+		this.#nextSearchMs = nowMs + (searchSpreadMs * (0.5 + this.#opts.random.drawFraction()));
+		const found = await this.#opts.control.findController();
+		if (found !== undefined && found !== this.#address) {
+			if (this.#address !== undefined) {
+				this.#opts.onEvent({kind: 'controller-lost', address: this.#address, silentMs: Math.round(nowMs - this.#heardMs)});
+			}
+
+			this.#address = found;
+			this.#unreachedSinceMs = undefined;
+			this.#opts.onEvent({kind: 'controller-found', address: found});
+		}
+	}
+
+	async #exchange(): Promise<void> {
+		const address = this.#opts.control.isLeading ? this.#opts.address : this.#address;
+		if (address === undefined) {
+			return;
+		}
+
+		const heartbeat = this.#opts.createHeartbeat();
+		const sentMs = this.#opts.lapseClock.readNowMs();
+		this.#sentMs = this.#readNowMs();
+		const answer = address === this.#opts.address
+			? this.handleCall({heartbeat})
+			: await this.#opts.links.call(address, {heartbeat} satisfies ControlCall, answerMs) as ControlAnswer | undefined; // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion
+		if (answer?.reply === undefined) {
+			return;
+		}
+
+		this.#heardMs = this.#readNowMs();
+		this.#unreachedSinceMs = answer.reply.isStoreReached ? undefined : this.#unreachedSinceMs ?? this.#heardMs;
+		this.#opts.applyReply(answer.reply, sentMs, heartbeat.backend?.key);
+	}
+
+	#readNowMs(): number {
+		return this.#opts.clock.readMoment().monotonicMs;
+	}
+}
--- /dev/null
+++ b/node/cell-link/src/routes-task.ts
@@ -0,0 +1,145 @@
+import type {Clock} from '@buckthornpoint/clock/clock.js';
+import type {RandomSource} from '@buckthornpoint/clock/random.js';
+import {
+	configurationKey, decodeRouteTable, operatorTable, parseEvacuationKey,
+} from '@buckthornpoint/fleet/operator-rows.js';
+import type {RowStore, Snapshot, StoredRow} from '@buckthornpoint/fleet/row-store.js';
+import type {RouteTable} from '@buckthornpoint/routes/routes.js';
+
+/** What the operator wrote. */
+export type OperatorChange
+	= | {readonly kind: 'routes'; readonly table: RouteTable; readonly document: string}
+		| {readonly kind: 'evacuation'; readonly domain: string; readonly isEvacuated: boolean}
+		| {readonly kind: 'invalid'; readonly problem: string}
+		| {readonly kind: 'store-failed'; readonly problem: string}
+		| {readonly kind: 'store-regained'; readonly awayMs: number};
+
+/** What a routes task works with. */
+export type RoutesTaskOpts = {
+	readonly store: RowStore;
+	readonly clock: Clock;
+	readonly random: RandomSource;
+	readonly onChange: (change: OperatorChange) => void;
+};
+
+/** How long a feed waits for a change, in milliseconds: a connection that went silent is found out within this and a little more. */
+const waitMs = 8000;
+
+/** The pause after a failure, in milliseconds, drawn up to twice as long. */
+const pauseMs = 150;
+
+/** Follows the operator's rows. Rows are taken in the order in which they were written; older ones never undo newer ones. */
+export class RoutesTask {
+	readonly #opts: RoutesTaskOpts;
+	readonly #versions = new Map<string, number>();
+	readonly #evacuated = new Set<string>();
+	readonly #stopped = new AbortController();
+	#failedMs: number | undefined;
+
+	constructor(opts: RoutesTaskOpts) {
+		this.#opts = opts;
+	}
+
+	/** Runs until the task is closed. */
+	async run(): Promise<void> {
+		let after: number | undefined;
+		while (!this.#stopped.signal.aborted) {
+			after = after === undefined ? await this.#readAll() : await this.#watchTable(after);
+		}
+	}
+
+	close(): void {
+		this.#stopped.abort();
+	}
+
+	async #readAll(): Promise<number | undefined> {
+		const read = await this.#opts.store.readTable(operatorTable);
+		if (read.isErr()) {
+			await this.#waitAfterFailure(read.error.error.message);
+			return undefined;
+		}
+
+		this.#noteReached();
+		this.#applySnapshot(read.value);
+		return read.value.version;
+	}
+
+	async #watchTable(after: number): Promise<number | undefined> {
+		const changes = await this.#opts.store.watchTable(operatorTable, after, waitMs);
+		if (changes.isErr()) {
+			await this.#waitAfterFailure(changes.error.error.message);
+			return after;
+		}
+
+		this.#noteReached();
+		if (changes.value.kind === 'history-lost') {
+			return undefined;
+		}
+
+		for (const row of changes.value.snapshot.rows) {
+			this.#applyRow(row);
+		}
+
+		return Math.max(after, changes.value.snapshot.version);
+	}
+
+	#applySnapshot({rows, version}: Snapshot): void {
+		const present = new Set<string>();
+		for (const row of rows) {
+			this.#applyRow(row);
+			present.add(row.key);
+		}
+
+		for (const domain of this.#evacuated) {
+			const key = [...this.#versions.keys()].find(candidate => parseEvacuationKey(candidate) === domain) ?? '';
+			if (!present.has(key) && version > (this.#versions.get(key) ?? 0)) {
+				this.#applyRow({
+					table: operatorTable, key, value: undefined, version,
+				});
+			}
+		}
+	}
+
+	#applyRow({key, value, version}: StoredRow): void {
+		if (version <= (this.#versions.get(key) ?? 0)) {
+			return;
+		}
+
+		this.#versions.set(key, version);
+		const domain = parseEvacuationKey(key);
+		if (domain !== undefined) {
+			this.#applyEvacuation(domain, value !== undefined);
+		} else if (key === configurationKey && value !== undefined) {
+			this.#opts.onChange(decodeRouteTable(value).match(
+				(table): OperatorChange => ({kind: 'routes', table, document: value}),
+				(problem): OperatorChange => ({kind: 'invalid', problem}),
+			));
+		}
+	}
+
+	#applyEvacuation(domain: string, isEvacuated: boolean): void {
+		if (isEvacuated) {
+			this.#evacuated.add(domain);
+		} else {
+			this.#evacuated.delete(domain);
+		}
+
+		this.#opts.onChange({kind: 'evacuation', domain, isEvacuated});
+	}
+
+	async #waitAfterFailure(problem: string): Promise<void> {
+		if (this.#failedMs === undefined) {
+			this.#failedMs = this.#opts.clock.readMoment().monotonicMs;
+			this.#opts.onChange({kind: 'store-failed', problem});
+		}
+
+		await this.#opts.clock.sleep(pauseMs * (1 + this.#opts.random.drawFraction()), this.#stopped.signal);
+	}
+
+	#noteReached(): void {
+		if (this.#failedMs !== undefined) {
+			this.#opts.onChange({kind: 'store-regained', awayMs: Math.round(this.#opts.clock.readMoment().monotonicMs - this.#failedMs)});
+			this.#failedMs = undefined;
+		}
+	}
+}
--- /dev/null
+++ b/node/ingress/src/caller-server.ts
@@ -0,0 +1,273 @@
+import {Buffer} from 'node:buffer';
+import {
+	createServer, type IncomingMessage, type Server, type ServerResponse,
+} from 'node:http';
+import type {Outcome, OutcomeReason} from '@buckthornpoint/backend-link/outcome.js';
+import type {Clock} from '@buckthornpoint/clock/clock.js';
+import {
+	createOwnAnswerHeaders, readCallerHeaders, selectForwardedHeaders, type CallerHeaders,
+} from '@buckthornpoint/fleet/headers.js';
+import type {Route, RouteTable} from '@buckthornpoint/routes/routes.js';
+import {WeightedSplit} from '@buckthornpoint/routes/split.js';
+import type {FleetView} from './fleet-view.js';
+import type {RequestRouter} from './request-router.js';
+import type {RoutedRequest, RoutingResult} from './routing.js';
+
+/** A request that got its final answer, for logs and metrics. */
+export type FinishedRequest = {
+	readonly requestId: string | undefined;
+	readonly route: string | undefined;
+	readonly service: string | undefined;
+	readonly key: number | undefined;
+	readonly status: number;
+	readonly outcome: Outcome['kind'] | 'bad-request' | 'cancelled';
+	readonly reason: OutcomeReason | 'answered' | string;
+	readonly tries: readonly string[];
+	readonly tookMs: number;
+	/** The version of the routes that decided. */
+	readonly routesVersion: number | undefined;
+	readonly retryAfterMs: number | undefined;
+};
+
+/** What a caller server works with. */
+export type CallerServerOpts = {
+	readonly view: FleetView;
+	readonly router: RequestRouter;
+	readonly clock: Clock;
+	/** The service on this VM: all requests begin there. */
+	readonly getCallerService: () => string;
+	readonly onFinished: (finished: FinishedRequest) => void;
+};
+
+/** When to come back to a node that knows no routes yet or stops, in milliseconds. */
+const noConfigurationRetryMs = 500;
+
+/** How long before the operator's limits are known an idle connection is kept, in milliseconds (the usual limit of the deployments). */
+const defaultIdleMs = 15_000;
+
+/** How much longer than the operator says a connection is kept, in milliseconds: a request may be on its way. */
+const idleMarginMs = 2000;
+
+/** The most bytes of headers that are read, until the operator's limit is known. */
+const maxHeaderBytes = 64 * 1024;
+
+const statusBadRequest = 400;
+const statusNotFound = 404;
+const statusTooLarge = 413;
+const statusHeadersTooLarge = 431;
+const statusBadGateway = 502;
+const statusUnavailable = 503;
+const statusTimeout = 504;
+
+type Open = {
+	readonly incoming: IncomingMessage;
+	readonly response: ServerResponse;
+	readonly arrivedMs: number;
+	readonly headers: CallerHeaders;
+};
+
+/** Listens for the callers and the backend server of this VM. */
+export class CallerServer {
+	readonly #opts: CallerServerOpts;
+	readonly #server: Server;
+	readonly #split = new WeightedSplit();
+	#open = 0;
+	#isStopping = false;
+
+	constructor(opts: CallerServerOpts) {
+		this.#opts = opts;
+		this.#server = createServer({
+			keepAliveTimeout: defaultIdleMs + idleMarginMs, requestTimeout: 0, maxHeaderSize: maxHeaderBytes, noDelay: true,
+		}, (incoming, response) => {
+			this.#handle(incoming, response);
+		});
+	}
+
+	async listen(host: string, port: number): Promise<void> {
+		await new Promise<void>((resolve, reject) => {
+			this.#server.once('error', reject);
+			this.#server.listen(port, host, resolve);
+		});
+	}
+
+	/** The port in use, which the system chose where 0 was asked for. */
+	getPort(): number {
+		const address = this.#server.address();
+		return typeof address === 'object' && address !== null ? address.port : 0;
+	}
+
+	/** Requests that have no final answer yet. */
+	countOpen(): number {
+		return this.#open;
+	}
+
+	/** From now on connections end with the answer that they wait for. */
+	startStop(): void {
+		this.#isStopping = true;
+	}
+
+	/** Takes no new connections, and closes those that wait for nothing. */
+	stopListening(): void {
+		this.#server.close();
+		this.#server.closeIdleConnections();
+	}
+
+	close(): void {
+		this.#server.close();
+		this.#server.closeAllConnections();
+	}
+
+	#handle(incoming: IncomingMessage, response: ServerResponse): void {
+		const open: Open = {
+			incoming, response, arrivedMs: this.#readNowMs(), headers: readCallerHeaders(incoming.headers),
+		};
+		this.#open++;
+		response.sendDate = false;
+		response.once('close', () => {
+			this.#open--;
+		});
+		const {view} = this.#opts;
+		const {table, index} = view;
+		if (table === undefined || index === undefined) {
+			this.#refuse(open, 'no-configuration');
+			return;
+		}
+
+		this.#server.keepAliveTimeout = table.limits.idleTimeoutMs + idleMarginMs;
+		const route = index.findRoute(incoming.headers.host ?? '', incoming.url ?? '/');
+		if (route === undefined) {
+			this.#replyPlainly(open, statusNotFound, `no route for ${incoming.headers.host ?? ''} ${incoming.url ?? ''}`);
+		} else if (open.headers.requestId === undefined) {
+			this.#replyPlainly(open, statusBadRequest, 'the request has no id');
+		} else if (incoming.rawHeaders.join('').length > table.limits.headerBytes) {
+			this.#replyPlainly(open, statusHeadersTooLarge, 'the headers are too long');
+		} else {
+			this.#readBody(open, table, route);
+		}
+	}
+
+	#readBody(open: Open, table: RouteTable, route: Route): void {
+		const {incoming} = open;
+		const chunks: Buffer[] = [];
+		let size = 0;
+		incoming.on('data', (chunk: Buffer) => {
+			size += chunk.length;
+			if (size <= table.limits.bodyBytes) {
+				chunks.push(chunk);
+			}
+		});
+		incoming.on('end', () => {
+			if (size > table.limits.bodyBytes) {
+				this.#replyPlainly(open, statusTooLarge, 'the body is too long');
+			} else {
+				this.#route(open, table, {route, body: chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks)});
+			}
+		});
+	}
+
+	#route(open: Open, table: RouteTable, {route, body}: {readonly route: Route; readonly body: Uint8Array}): void {
+		const {incoming, response, headers, arrivedMs} = open;
+		const service = this.#split.choose(route, table.version);
+		const waitMs = Math.min(headers.deadlineMs ?? route.timeoutMs, route.timeoutMs);
+		const request: RoutedRequest = {
+			requestId: headers.requestId ?? '',
+			method: incoming.method ?? 'GET',
+			path: incoming.url ?? '/',
+			headers: selectForwardedHeaders(incoming.rawHeaders),
+			body,
+			key: headers.key,
+			service,
+			callerService: this.#opts.getCallerService(),
+			priority: route.priority,
+			isIdempotent: route.kind === 'idempotent',
+			isDivided: table.services.get(service)?.isDivided ?? false,
+			maxAttempts: route.maxAttempts,
+			endMs: arrivedMs + waitMs,
+			targetEndMs: arrivedMs + Math.min(waitMs, route.targetMs),
+		};
+		const ticket = this.#opts.router.route(request, result => {
+			this.#complete(open, request, {result, table, route});
+		});
+		response.once('close', () => {
+			if (!response.writableFinished) {
+				ticket.cancel();
+				this.#report(open, {
+					route: route.name, service, status: 0, outcome: 'cancelled', reason: 'the caller left', routesVersion: table.version,
+				});
+			}
+		});
+	}
+
+	#complete(open: Open, request: RoutedRequest, {result, table, route}: {readonly result: RoutingResult; readonly table: RouteTable; readonly route: Route}): void {
+		const {outcome, tries} = result;
+		const report = (status: number, reason: string): void => {
+			this.#report(open, {
+				route: route.name, service: request.service, status, outcome: outcome.kind, reason, tries, routesVersion: table.version,
+				...(outcome.kind === 'not-run' && {retryAfterMs: outcome.retryAfterMs}),
+			});
+		};
+
+		if (outcome.kind === 'answer') {
+			report(outcome.status, 'answered');
+			this.#write(open, outcome.status, outcome.headers, outcome.body);
+		} else if (outcome.kind === 'not-run') {
+			report(statusUnavailable, outcome.reason);
+			this.#writeOwn(open, statusUnavailable, {reason: outcome.reason, retryAfterMs: outcome.retryAfterMs});
+		} else {
+			const status = outcome.reason === 'timeout' ? statusTimeout : statusBadGateway;
+			report(status, outcome.reason);
+			this.#writeOwn(open, status, {reason: outcome.reason});
+		}
+	}
+
+	#refuse(open: Open, reason: OutcomeReason): void {
+		this.#report(open, {status: statusUnavailable, outcome: 'not-run', reason});
+		open.incoming.resume();
+		this.#writeOwn(open, statusUnavailable, {reason, retryAfterMs: noConfigurationRetryMs});
+	}
+
+	#replyPlainly(open: Open, status: number, reason: string): void {
+		this.#report(open, {
+			status, outcome: 'bad-request', reason, routesVersion: this.#opts.view.table?.version,
+		});
+		open.incoming.resume();
+		this.#writeOwn(open, status, {reason});
+	}
+
+	#writeOwn(open: Open, status: number, {reason, retryAfterMs}: {readonly reason: string; readonly retryAfterMs?: number}): void {
+		this.#write(open, status, [
+			'Content-Type', 'application/json', ...createOwnAnswerHeaders(open.headers.requestId, retryAfterMs),
+		], Buffer.from(JSON.stringify({reason})));
+	}
+
+	#write({response}: Open, status: number, headers: readonly string[], body: Uint8Array): void {
+		if (response.destroyed || response.headersSent) {
+			return;
+		}
+
+		response.writeHead(status, [
+			...headers,
+			...response.req.method === 'HEAD' || status === 204 || status === 304 ? [] : ['Content-Length', String(body.length)],
+			...this.#isStopping ? ['Connection', 'close'] : [],
+		]);
+		response.end(body);
+	}
+
+	#report(open: Open, finished: Pick<FinishedRequest, 'status' | 'outcome' | 'reason'> & Partial<FinishedRequest>): void {
+		this.#opts.onFinished({
+			requestId: open.headers.requestId,
+			route: undefined,
+			service: undefined,
+			key: open.headers.key,
+			tries: [],
+			tookMs: Math.round(this.#readNowMs() - open.arrivedMs),
+			routesVersion: undefined,
+			retryAfterMs: undefined,
+			...finished,
+		});
+	}
+
+	#readNowMs(): number {
+		return this.#opts.clock.readMoment().monotonicMs;
+	}
+}
--- /dev/null
+++ b/node/ingress/src/fleet-view.ts
@@ -0,0 +1,118 @@
+import {findByKey, type BackendKey} from '@buckthornpoint/key-ranges/key-ranges.js';
+import type {ServiceRules} from '@buckthornpoint/key-ranges/judge-backend.js';
+import type {DirectoryEntry, HeartbeatReply} from '@buckthornpoint/key-ranges/messages.js';
+import type {RangeMap} from '@buckthornpoint/key-ranges/range-map.js';
+import {decodeRangeMapRecord} from '@buckthornpoint/key-ranges/range-map-record.js';
+import {RouteIndex, type RouteTable} from '@buckthornpoint/routes/routes.js';
+
+/** What a node knows of the others, of the owners of keys and of the operator's wishes. One task writes it, others read. */
+export class FleetView {
+	readonly #maps = new Map<string, RangeMap>();
+	readonly #evacuated = new Set<string>();
+	#entries = new Map<string, DirectoryEntry>();
+	#byBackend = new Map<BackendKey, DirectoryEntry>();
+	#byService = new Map<string, readonly DirectoryEntry[]>();
+	#directoryVersion = '';
+	#table: RouteTable | undefined;
+	#index: RouteIndex | undefined;
+	#document: string | undefined;
+
+	get table(): RouteTable | undefined {
+		return this.#table;
+	}
+
+	get index(): RouteIndex | undefined {
+		return this.#index;
+	}
+
+	get directoryVersion(): string {
+		return this.#directoryVersion;
+	}
+
+	/** What the operator wants, as far as ownership depends on it. */
+	getRules(): ServiceRules {
+		return {
+			dividedServices: new Set([...this.#table?.services.values() ?? []].filter(({isDivided}) => isDivided).map(({name}) => name)),
+			evacuatedDomains: this.#evacuated,
+		};
+	}
+
+	/** The operator's document from which the routes were read, and its version. */
+	getRoutes(): {readonly version: number; readonly document: string} | undefined {
+		return this.#table === undefined || this.#document === undefined ? undefined : {version: this.#table.version, document: this.#document};
+	}
+
+	/** Takes a newer configuration; an older one is left aside. Returns whether it was newer. */
+	setRoutes(table: RouteTable, document: string): boolean {
+		if (this.#table !== undefined && table.version <= this.#table.version) {
+			return false;
+		}
+
+		this.#table = table;
+		this.#index = new RouteIndex(table);
+		this.#document = document;
+		return true;
+	}
+
+	/** Takes note that the operator empties a failure domain, or takes it back. */
+	setEvacuated(domain: string, isEvacuated: boolean): void {
+		if (isEvacuated) {
+			this.#evacuated.add(domain);
+		} else {
+			this.#evacuated.delete(domain);
+		}
+	}
+
+	/** Takes over the directory and the maps of a controller's answer. Returns what could not be read. */
+	applyReply(reply: HeartbeatReply): readonly string[] {
+		if (reply.directory !== undefined) {
+			this.#setDirectory(reply.directory, reply.directoryVersion);
+		}
+
+		return (reply.maps ?? []).flatMap(record => decodeRangeMapRecord(record).match(map => {
+			this.#maps.set(map.service, map);
+			return [];
+		}, problem => [problem]));
+	}
+
+	/** Versions of the maps, by service. */
+	listMapVersions(): Readonly<Record<string, number>> {
+		return Object.fromEntries([...this.#maps].map(([service, {version}]) => [service, version]));
+	}
+
+	/** Returns the nodes beside the servers of a service that take work. */
+	listNodes(service: string): readonly DirectoryEntry[] {
+		return this.#byService.get(service) ?? [];
+	}
+
+	/** Returns the node beside the owner of a key; undefined where nobody owns it or its node is not known. */
+	findOwner(service: string, key: number): DirectoryEntry | undefined {
+		const map = this.#maps.get(service);
+		const owner = map === undefined ? undefined : findByKey(map.segments, key)?.owner;
+		return owner === undefined ? undefined : this.#byBackend.get(owner);
+	}
+
+	isEvacuated(domain: string): boolean {
+		return this.#evacuated.has(domain);
+	}
+
+	listAddresses(): ReadonlySet<string> {
+		return new Set([...this.#entries.values()].map(({address}) => address));
+	}
+
+	#setDirectory(directory: readonly DirectoryEntry[], version: string): void {
+		this.#directoryVersion = version;
+		this.#entries = new Map(directory.map(entry => [entry.vmId, entry]));
+		this.#byBackend = new Map(directory.flatMap(entry => entry.backend === undefined ? [] : [[entry.backend.key, entry]]));
+		const byService = new Map<string, DirectoryEntry[]>();
+		for (const entry of directory) {
+			if (entry.backend?.state === 'ready' && !entry.isStopping) {
+				const entries = byService.get(entry.backend.service) ?? [];
+				entries.push(entry);
+				byService.set(entry.backend.service, entries);
+			}
+		}
+
+		this.#byService = byService;
+	}
+}
--- /dev/null
+++ b/node/ingress/src/owner-messages.ts
@@ -0,0 +1,37 @@
+import type {Outcome, OwnerLoad, OwnerRequest} from '@buckthornpoint/backend-link/outcome.js';
+
+/** A request between nodes but for its body. */
+export type RequestMeta = Omit<OwnerRequest, 'body'>;
+
+/** An outcome between nodes but for its body, with the load of the server that it came from. */
+export type OutcomeMeta = {
+	readonly outcome: Outcome extends infer Each ? Each extends {readonly body: Uint8Array} ? Omit<Each, 'body'> : Each : never;
+	readonly load: OwnerLoad;
+};
+
+/** Splits a request into what goes into the head of a frame and its body. */
+export function encodeOwnerRequest(request: OwnerRequest): {readonly meta: RequestMeta; readonly body: Uint8Array} {
+	const {body, ...meta} = request;
+	return {meta, body};
+}
+
+/** Joins a request again. Nodes trust each other's frames. */
+export function decodeOwnerRequest(meta: unknown, body: Uint8Array): OwnerRequest {
+	return {...meta as RequestMeta, body}; // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion
+}
+
+/** Splits an outcome into what goes into the head of a frame and its body. */
+export function encodeOutcome(outcome: Outcome, load: OwnerLoad): {readonly meta: OutcomeMeta; readonly body: Uint8Array | undefined} {
+	if (outcome.kind !== 'answer') {
+		return {meta: {outcome, load}, body: undefined};
+	}
+
+	const {body, ...rest} = outcome;
+	return {meta: {outcome: rest, load}, body};
+}
+
+/** Joins an outcome again. Nodes trust each other's frames. */
+export function decodeOutcome(meta: unknown, body: Uint8Array): {readonly outcome: Outcome; readonly load: OwnerLoad} {
+	const {outcome, load} = meta as OutcomeMeta; // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion
+	return {outcome: outcome.kind === 'answer' ? {...outcome, body} : outcome, load};
+}
--- /dev/null
+++ b/node/log/src/bounded-json-log.ts
@@ -0,0 +1,112 @@
+import type {Clock} from '@buckthornpoint/clock/clock.js';
+import {SonicBoom} from 'sonic-boom';
+import type {LogEvent, LogLevel} from './events.js';
+import {Log} from './log.js';
+
+/** What a bounded log needs. */
+export type BoundedJsonLogOpts = {
+	readonly clock: Clock;
+	readonly lowest: LogLevel;
+	/** The name of the VM, in each line. */
+	readonly vmId: string;
+	/** Writes lines; by default to standard output, without ever waiting for the reader. */
+	readonly writeLine?: (line: string) => void;
+};
+
+/** Lines a second that are written at most, over all kinds; some 200 bytes each make 20 KB a second. */
+const maxLinesPerS = 100;
+
+/** Lines of one kind a second that are written in full; the rest is counted. */
+const maxPerKind = 20;
+
+/** What may wait for a reader that does not read, in bytes. Further lines are dropped and counted. */
+const maxBufferedBytes = 256 * 1024;
+
+/** Lines are written together, up to this many bytes. */
+const minWriteBytes = 4096;
+
+const spanMs = 1000;
+
+/** Prints events as JSON lines on standard output: bounded in rate, never waiting for the reader, and saying what it left out. */
+export class BoundedJsonLog extends Log {
+	readonly #opts: BoundedJsonLogOpts;
+	readonly #writeLine: (line: string) => void;
+	readonly #sink: SonicBoom | undefined;
+	readonly #omitted = new Map<string, number>();
+	readonly #kinds = new Map<string, number>();
+	#lines = 0;
+	#dropped = 0;
+	#spanStartMs = Number.NEGATIVE_INFINITY;
+
+	constructor(opts: BoundedJsonLogOpts) {
+		super(opts.lowest);
+		this.#opts = opts;
+		this.#sink = opts.writeLine === undefined ? this.#openSink() : undefined;
+		this.#writeLine = opts.writeLine ?? (line => this.#sink?.write(line));
+	}
+
+	/** Writes what waits. */
+	writeWaiting(): void {
+		this.#closeSpan();
+		this.#sink?.flush();
+	}
+
+	/** Writes what waits at once, at the end of the process. */
+	close(): void {
+		this.#closeSpan();
+		try {
+			this.#sink?.flushSync();
+		} catch {
+			// The reader is gone; nobody is left to tell.
+		}
+	}
+
+	protected override report(event: LogEvent, level: LogLevel): void {
+		const {monotonicMs, wallMs} = this.#opts.clock.readMoment();
+		if (monotonicMs - this.#spanStartMs >= spanMs) {
+			this.#closeSpan();
+			this.#spanStartMs = monotonicMs;
+		}
+
+		const ofKind = this.#kinds.get(event.event) ?? 0;
+		if ((ofKind >= maxPerKind || this.#lines >= maxLinesPerS) && level !== 'error') {
+			this.#omitted.set(event.event, (this.#omitted.get(event.event) ?? 0) + 1);
+			return;
+		}
+
+		this.#kinds.set(event.event, ofKind + 1);
+		this.#lines++;
+		this.#writeLine(`${JSON.stringify({
+			time: new Date(wallMs).toISOString(), level, vmId: this.#opts.vmId, ...event,
+		})}\n`);
+	}
+
+	#closeSpan(): void {
+		this.#kinds.clear();
+		this.#lines = 0;
+		if (this.#omitted.size > 0 || this.#dropped > 0) {
+			const {wallMs} = this.#opts.clock.readMoment();
+			const omitted = Object.fromEntries(this.#omitted);
+			const line = JSON.stringify({
+				time: new Date(wallMs).toISOString(), level: 'warn', vmId: this.#opts.vmId, event: 'log-omitted', omitted, dropped: this.#dropped,
+			});
+			this.#omitted.clear();
+			this.#dropped = 0;
+			this.#writeLine(`${line}\n`);
+		}
+	}
+
+	#openSink(): SonicBoom {
+		const sink = new SonicBoom({
+			fd: 1, sync: false, minLength: minWriteBytes, maxLength: maxBufferedBytes, contentMode: 'utf8',
+		});
+		sink.on('drop', () => {
+			this.#dropped++;
+		});
+		sink.on('error', () => {
+			// The reader of standard output is gone. The node goes on without a log.
+			this.#dropped++;
+		});
+		return sink;
+	}
+}
--- a/node/log/src/events.ts
+++ b/node/log/src/events.ts
@@ -13,8 +13,41 @@
 		| {readonly event: 'cell-event'; readonly name: string; readonly detail: string}
 		| {readonly event: 'configuration-in-force'; readonly version: number}
 		| {readonly event: 'operator-request'; readonly command: string; readonly accepted: boolean; readonly detail: string}
+		| {readonly event: 'request-refused'; readonly requestId: string | undefined} & RequestFacts
+		| {readonly event: 'request-unknown'; readonly requestId: string | undefined} & RequestFacts
+		| {readonly event: 'request-rejected'; readonly requestId: string | undefined} & RequestFacts
+		| {readonly event: 'request-cancelled'; readonly requestId: string | undefined} & RequestFacts
+		| {
+			readonly event: 'owner-refused'; readonly requestId: string; readonly service: string; readonly key: number | undefined;
+			readonly reason: string; readonly outstanding: number; readonly slots: number; readonly serviceMs: number;
+		}
+		| {readonly event: 'owner-lost'; readonly requestId: string; readonly service: string; readonly key: number | undefined; readonly reason: string}
+		| {readonly event: 'control-event'; readonly kind: string; readonly detail: string}
+		| {readonly event: 'store-lost'; readonly by: string; readonly message: string}
+		| {readonly event: 'store-regained'; readonly by: string; readonly awayMs: number}
+		| {readonly event: 'routes-in-force'; readonly version: number; readonly routes: number; readonly from: 'store' | 'controller'}
+		| {readonly event: 'operator-row-invalid'; readonly message: string}
+		| {readonly event: 'evacuation'; readonly failureDomain: string; readonly isEvacuated: boolean}
+		| {readonly event: 'backend-state'; readonly key: string; readonly service: string; readonly state: string; readonly coldMs: number; readonly reason: string}
+		| {readonly event: 'announcement-ignored'; readonly id: string; readonly reason: string}
+		| {readonly event: 'ranges-assigned'; readonly epoch: number; readonly version: string; readonly ranges: number}
+		| {readonly event: 'grant-shortened'; readonly omitted: number}
+		| {readonly event: 'settings-reloaded'; readonly outcome: string}
 		| {readonly event: 'internal-error'; readonly message: string};
 
+/** What a line about a request says: the inputs that decided it, and the outcome. */
+export type RequestFacts = {
+	readonly route: string | undefined;
+	readonly service: string | undefined;
+	readonly key: number | undefined;
+	readonly status: number;
+	readonly reason: string;
+	readonly tries: readonly string[];
+	readonly tookMs: number;
+	readonly routesVersion: number | undefined;
+	readonly retryAfterMs: number | undefined;
+};
+
 /** How much an event matters to the reader of the log. */
 export type LogLevel = 'error' | 'warn' | 'info' | 'debug';
 
@@ -30,6 +63,23 @@
 	'cell-event': 'info',
 	'configuration-in-force': 'info',
 	'operator-request': 'info',
+	'request-refused': 'info',
+	'request-unknown': 'warn',
+	'request-rejected': 'info',
+	'request-cancelled': 'debug',
+	'owner-refused': 'info',
+	'owner-lost': 'warn',
+	'control-event': 'info',
+	'store-lost': 'warn',
+	'store-regained': 'info',
+	'routes-in-force': 'info',
+	'operator-row-invalid': 'error',
+	evacuation: 'info',
+	'backend-state': 'info',
+	'announcement-ignored': 'warn',
+	'ranges-assigned': 'info',
+	'grant-shortened': 'warn',
+	'settings-reloaded': 'info',
 	'internal-error': 'error',
 };
 
--- /dev/null
+++ b/node/mesh-daemon/src/apply-operator-change.ts
@@ -0,0 +1,55 @@
+import type {OperatorChange} from '@buckthornpoint/cell-link/routes-task.js';
+import type {FleetView} from '@buckthornpoint/ingress/fleet-view.js';
+import type {Log} from '@buckthornpoint/log/log.js';
+import type {RouteTable} from '@buckthornpoint/routes/routes.js';
+
+/** What a change of the operator is applied to. */
+export type OperatorChangeOpts = {
+	readonly view: FleetView;
+	readonly log: Log;
+	/** Called when something took effect. */
+	readonly onApplied: () => void;
+};
+
+/** Puts what the operator wrote in force on this node. */
+export function applyOperatorChange(change: OperatorChange, opts: OperatorChangeOpts): void {
+	const {view, log} = opts;
+	switch (change.kind) {
+		case 'routes': {
+			applyRoutes(change, 'store', opts);
+			break;
+		}
+
+		case 'evacuation': {
+			view.setEvacuated(change.domain, change.isEvacuated);
+			log.write({event: 'evacuation', failureDomain: change.domain, isEvacuated: change.isEvacuated});
+			opts.onApplied();
+			break;
+		}
+
+		case 'invalid': {
+			log.write({event: 'operator-row-invalid', message: change.problem});
+			break;
+		}
+
+		case 'store-failed': {
+			log.write({event: 'store-lost', by: 'routes', message: change.problem});
+			break;
+		}
+
+		case 'store-regained': {
+			log.write({event: 'store-regained', by: 'routes', awayMs: change.awayMs});
+			break;
+		}
+	}
+}
+
+/** Puts routes in force, unless newer ones are. */
+export function applyRoutes({table, document}: {readonly table: RouteTable; readonly document: string}, from: 'store' | 'controller', opts: OperatorChangeOpts): void {
+	if (opts.view.setRoutes(table, document)) {
+		opts.log.write({
+			event: 'routes-in-force', version: table.version, routes: table.routes.length, from,
+		});
+		opts.onApplied();
+	}
+}
--- /dev/null
+++ b/node/mesh-daemon/src/create-gate.ts
@@ -0,0 +1,24 @@
+import {BackendGate} from '@buckthornpoint/backend-link/backend-gate.js';
+import type {Clock} from '@buckthornpoint/clock/clock.js';
+import {splitAddress} from '@buckthornpoint/peers/peer-link.js';
+import type {BackendWatch} from './backend-watch.js';
+import type {MeshSettings} from './settings.js';
+
+/** Creates the gate to the backend server beside and joins it with the watch. */
+export function createGate(settings: MeshSettings, clock: Clock, watch: BackendWatch): BackendGate {
+	const [host, port] = splitAddress(settings.backendServer);
+	const gate = new BackendGate({
+		host,
+		port,
+		clock,
+		isHeld: key => watch.isHeld(key),
+		onRefused() {
+			watch.noteGone();
+		},
+		onCold(coldMs) {
+			watch.noteCold(coldMs);
+		},
+	});
+	watch.setGate(gate);
+	return gate;
+}
--- /dev/null
+++ b/node/mesh-daemon/src/handle-announcement.ts
@@ -0,0 +1,46 @@
+import {decodeAnnouncement, encodeHeartbeatAnswer, type BackendHeartbeat} from '@buckthornpoint/fleet/announcements.js';
+import type {Log} from '@buckthornpoint/log/log.js';
+import type {BackendWatch} from './backend-watch.js';
+import type {PlainAnswer, PlainCall} from './plain-server.js';
+
+const statusOk = 200;
+const statusBadRequest = 400;
+const statusNotFound = 404;
+
+/** Answers a call of the backend server beside: a heartbeat, a leave call, or something that is neither. */
+export function handleAnnouncement({method, path, body}: PlainCall, watch: BackendWatch, log: Log): PlainAnswer {
+	const announcement = decodeAnnouncement(method, path, body);
+	switch (announcement.kind) {
+		case 'heartbeat': {
+			return handleHeartbeat(announcement.heartbeat, watch, log);
+		}
+
+		case 'leave': {
+			watch.handleLeave(announcement.id, announcement.bornMs);
+			return {status: statusOk, body: '{}'};
+		}
+
+		case 'malformed': {
+			log.write({event: 'announcement-ignored', id: path, reason: announcement.problem});
+			return {status: statusBadRequest, body: JSON.stringify({reason: announcement.problem})};
+		}
+
+		case 'unknown': {
+			return {status: statusNotFound, body: ''};
+		}
+	}
+}
+
+function handleHeartbeat(heartbeat: BackendHeartbeat, watch: BackendWatch, log: Log): PlainAnswer {
+	const {result, grant} = watch.handleHeartbeat(heartbeat);
+	if (result.kind === 'refused') {
+		return {status: statusBadRequest, body: JSON.stringify({reason: result.reason})};
+	}
+
+	const answer = encodeHeartbeatAnswer(grant);
+	if (answer.omitted > 0) {
+		log.write({event: 'grant-shortened', omitted: answer.omitted});
+	}
+
+	return answer;
+}
--- /dev/null
+++ b/node/mesh-daemon/src/log-decisions.ts
@@ -0,0 +1,45 @@
+import type {ControlEvent} from '@buckthornpoint/cell-link/control-task.js';
+import type {FinishedRequest} from '@buckthornpoint/ingress/caller-server.js';
+import type {Log} from '@buckthornpoint/log/log.js';
+
+/** Logs what the control task did. */
+export function logControlEvent(log: Log, event: ControlEvent): void {
+	if (event.kind === 'store-failed') {
+		log.write({event: 'store-lost', by: 'control', message: `${event.operation}: ${event.problem}`});
+	} else if (event.kind === 'store-regained') {
+		log.write({event: 'store-regained', by: 'control', awayMs: event.awayMs});
+	} else {
+		const {kind, ...detail} = event;
+		log.write({event: 'control-event', kind, detail: JSON.stringify(detail)});
+	}
+}
+
+/** Logs a request that got no answer of a backend server, with what decided it. */
+export function logRequest(log: Log, {outcome, ...facts}: FinishedRequest): void {
+	switch (outcome) {
+		case 'not-run': {
+			log.write({event: 'request-refused', ...facts});
+			break;
+		}
+
+		case 'unknown': {
+			log.write({event: 'request-unknown', ...facts});
+			break;
+		}
+
+		case 'bad-request': {
+			log.write({event: 'request-rejected', ...facts});
+			break;
+		}
+
+		case 'cancelled': {
+			log.write({event: 'request-cancelled', ...facts});
+			break;
+		}
+
+		case 'answer': {
+			// Answers are counted, not logged: they are the rule.
+			break;
+		}
+	}
+}
--- /dev/null
+++ b/node/mesh-daemon/src/mesh-node.ts
@@ -0,0 +1,290 @@
+import {type BackendGate} from '@buckthornpoint/backend-link/backend-gate.js';
+import type {Clock, Timer} from '@buckthornpoint/clock/clock.js';
+import {LapseClock} from '@buckthornpoint/clock/lapse-clock.js';
+import type {RandomSource} from '@buckthornpoint/clock/random.js';
+import {ControlTask} from '@buckthornpoint/cell-link/control-task.js';
+import {MemberTask, type ControlCall} from '@buckthornpoint/cell-link/member-task.js';
+import {RoutesTask} from '@buckthornpoint/cell-link/routes-task.js';
+import {isReadinessCall} from '@buckthornpoint/fleet/announcements.js';
+import {decodeRouteTable} from '@buckthornpoint/fleet/operator-rows.js';
+import {RowStore} from '@buckthornpoint/fleet/row-store.js';
+import {frameTypes} from '@buckthornpoint/frames/frames.js';
+import {CallerServer} from '@buckthornpoint/ingress/caller-server.js';
+import {FleetView} from '@buckthornpoint/ingress/fleet-view.js';
+import {NodeStatisticsTable} from '@buckthornpoint/ingress/node-statistics.js';
+import {RequestRouter} from '@buckthornpoint/ingress/request-router.js';
+import type {HeartbeatReply, MemberHeartbeat} from '@buckthornpoint/key-ranges/messages.js';
+import type {Log} from '@buckthornpoint/log/log.js';
+import {splitAddress} from '@buckthornpoint/peers/peer-link.js';
+import {PeerLinks} from '@buckthornpoint/peers/peer-links.js';
+import {PeerServer} from '@buckthornpoint/peers/peer-server.js';
+import {handleAnnouncement} from './handle-announcement.js';
+import {applyOperatorChange, applyRoutes, type OperatorChangeOpts} from './apply-operator-change.js';
+import {BackendWatch} from './backend-watch.js';
+import {createGate} from './create-gate.js';
+import {handlePeerRequest} from './handle-peer-request.js';
+import {logControlEvent, logRequest} from './log-decisions.js';
+import {runPlannedStop} from './planned-stop.js';
+import {PlainServer, type PlainAnswer, type PlainCall} from './plain-server.js';
+import type {MeshSettings} from './settings.js';
+import {deriveRetryBudget, deriveTimes, type MeshTimes} from './times.js';
+
+/** What a node is given. */
+export type MeshNodeOpts = {
+	readonly clock: Clock;
+	readonly random: RandomSource;
+	readonly log: Log;
+	/** Tells the runs of the node's process apart. */
+	readonly incarnation: string;
+};
+
+/** How often the gate lets time pass, in milliseconds. */
+const tickMs = 100;
+
+const statusOk = 200;
+const statusNotFound = 404;
+const statusUnavailable = 503;
+
+/** The process beside a backend server of a fleet: it owns all sockets and joins the tasks. */
+export class MeshNode {
+	readonly #settings: MeshSettings;
+	readonly #opts: MeshNodeOpts;
+	readonly #times: MeshTimes;
+	readonly #view = new FleetView();
+	readonly #store: RowStore;
+	readonly #lapseClock: LapseClock;
+	readonly #watch: BackendWatch;
+	readonly #gate: BackendGate;
+	readonly #links: PeerLinks;
+	readonly #peers: PeerServer;
+	readonly #callers: CallerServer;
+	readonly #readiness: PlainServer;
+	readonly #announcements: PlainServer;
+	readonly #control: ControlTask;
+	readonly #member: MemberTask;
+	readonly #routes: RoutesTask;
+	readonly #operatorChanges: OperatorChangeOpts;
+	#timer: Timer | undefined;
+	#isStopping = false;
+	#isLeaving = false;
+
+	constructor(settings: MeshSettings, opts: MeshNodeOpts) {
+		this.#settings = settings;
+		this.#opts = opts;
+		this.#times = deriveTimes(settings);
+		this.#store = new RowStore(settings.store);
+		this.#lapseClock = new LapseClock(opts.clock);
+		this.#watch = new BackendWatch({
+			settings, times: this.#times, clock: opts.clock, lapseClock: this.#lapseClock, view: this.#view, log: opts.log, onChange: () => {
+				this.#member.requestHeartbeat();
+			},
+		});
+		this.#gate = createGate(settings, opts.clock, this.#watch);
+		const statistics = new NodeStatisticsTable(settings.failureDomain);
+		this.#links = new PeerLinks({
+			clock: opts.clock,
+			onDown(address, reason) {
+				opts.log.write({event: 'peer-failed', vmId: address, message: reason});
+			},
+		});
+		this.#peers = this.#createPeerServer();
+		this.#callers = new CallerServer({
+			view: this.#view,
+			router: new RequestRouter({
+				ownAddress: settings.listen.peers,
+				view: this.#view,
+				gate: this.#gate,
+				links: this.#links,
+				statistics,
+				clock: opts.clock,
+				random: opts.random,
+				retryBudget: deriveRetryBudget(settings),
+			}),
+			clock: opts.clock,
+			getCallerService: () => this.#watch.getCallerService(),
+			onFinished(finished) {
+				logRequest(opts.log, finished);
+			},
+		});
+		this.#readiness = new PlainServer(call => this.#judgeReadiness(call));
+		this.#announcements = new PlainServer(call => handleAnnouncement(call, this.#watch, opts.log));
+		this.#control = this.#createControl();
+		this.#member = this.#createMember();
+		this.#operatorChanges = {
+			view: this.#view,
+			log: opts.log,
+			onApplied: () => {
+				this.#watch.refresh();
+			},
+		};
+		this.#routes = new RoutesTask({
+			store: this.#store,
+			clock: opts.clock,
+			random: opts.random,
+			onChange: change => {
+				applyOperatorChange(change, this.#operatorChanges);
+			},
+		});
+	}
+
+	/** Listens, and begins to take part. */
+	async start(): Promise<void> {
+		const {listen} = this.#settings;
+		await Promise.all([
+			this.#callers.listen(...splitAddress(listen.callers)),
+			this.#peers.listen(...splitAddress(listen.peers)),
+			this.#readiness.listen(listen.readiness),
+			this.#announcements.listen(listen.announcements),
+		]);
+		void this.#routes.run();
+		this.#member.start();
+		this.#advance();
+	}
+
+	/** Ends as planned: takes nothing new, answers what it has, and gives its duties back, within the grace time. */
+	async stop(): Promise<void> {
+		this.#isStopping = true;
+		this.#member.requestHeartbeat();
+		await this.#control.release();
+		await runPlannedStop({
+			clock: this.#opts.clock,
+			callers: this.#callers,
+			gate: this.#gate,
+			graceMs: this.#times.graceMs,
+			onLeaving: () => {
+				this.#isLeaving = true;
+			},
+		});
+	}
+
+	close(): void {
+		this.#timer?.close();
+		this.#routes.close();
+		this.#member.close();
+		this.#control.close();
+		this.#gate.close();
+		this.#links.close();
+		this.#peers.close();
+		this.#callers.close();
+		this.#readiness.close();
+		this.#announcements.close();
+		void this.#store.close();
+	}
+
+	#createPeerServer(): PeerServer {
+		return new PeerServer({
+			onRequest: (meta, body, reply) => handlePeerRequest({meta, body, reply}, {
+				gate: this.#gate, log: this.#opts.log, isLeaving: () => this.#isLeaving,
+			}),
+			onCall: (meta, reply) => {
+				reply(this.#member.handleCall(meta as ControlCall)); // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion
+			},
+			onNotice: () => {
+				this.#member.requestHeartbeat();
+			},
+			onProblem: message => {
+				this.#opts.log.write({event: 'peer-failed', vmId: '', message});
+			},
+		});
+	}
+
+	#createControl(): ControlTask {
+		const {clock, random, incarnation} = this.#opts;
+		return new ControlTask({
+			identity: {vmId: this.#settings.vmId, incarnation, address: this.#settings.listen.peers},
+			store: this.#store,
+			clock,
+			random,
+			times: this.#times.controller,
+			getRules: () => this.#view.getRules(),
+			getRoutes: () => this.#view.getRoutes(),
+			askMembers: addresses => {
+				for (const address of addresses) {
+					// A connection of its own is not needed to ask oneself, but is the simplest way.
+					this.#links.get(address).announce(frameTypes.notice, 0, {});
+				}
+			},
+			onEvent: event => {
+				logControlEvent(this.#opts.log, event);
+			},
+		});
+	}
+
+	#createMember(): MemberTask {
+		return new MemberTask({
+			address: this.#settings.listen.peers,
+			control: this.#control,
+			links: this.#links,
+			clock: this.#opts.clock,
+			lapseClock: this.#lapseClock,
+			random: this.#opts.random,
+			createHeartbeat: () => this.#createHeartbeat(),
+			applyReply: (reply, sentMs, backend) => {
+				this.#applyReply(reply, sentMs, backend);
+			},
+			onEvent: event => {
+				this.#opts.log.write({event: 'control-event', kind: event.kind, detail: JSON.stringify(event)});
+			},
+		});
+	}
+
+	#createHeartbeat(): MemberHeartbeat {
+		const backend = this.#watch.createReport();
+		return {
+			vmId: this.#settings.vmId,
+			incarnation: this.#opts.incarnation,
+			address: this.#settings.listen.peers,
+			failureDomain: this.#settings.failureDomain,
+			service: this.#watch.getCallerService(),
+			epoch: this.#watch.member.epoch,
+			isStopping: this.#isStopping,
+			routesVersion: this.#view.table?.version ?? 0,
+			directoryVersion: this.#view.directoryVersion,
+			mapVersions: this.#view.listMapVersions(),
+			...(backend !== undefined && {backend}),
+			ended: this.#watch.listEnded(),
+		};
+	}
+
+	#applyReply(reply: HeartbeatReply, sentMs: number, backend: string | undefined): void {
+		if (this.#watch.member.applyReply(reply, sentMs, backend)) {
+			this.#opts.log.write({
+				event: 'ranges-assigned', epoch: reply.epoch, version: reply.assignmentVersion, ranges: this.#watch.member.listAssigned().length,
+			});
+		}
+
+		for (const message of this.#view.applyReply(reply)) {
+			this.#opts.log.write({event: 'internal-error', message});
+		}
+
+		if (reply.directory !== undefined) {
+			this.#links.removeOthers(this.#view.listAddresses());
+		}
+
+		const document = reply.routesDocument;
+		if (document !== undefined) {
+			decodeRouteTable(document).match(table => {
+				applyRoutes({table, document}, 'controller', this.#operatorChanges);
+			}, message => {
+				this.#opts.log.write({event: 'operator-row-invalid', message});
+			});
+		}
+	}
+
+	#judgeReadiness({method, path}: PlainCall): PlainAnswer {
+		if (!isReadinessCall(method, path)) {
+			return {status: statusNotFound, body: ''};
+		}
+
+		const isReady = !this.#isStopping && this.#view.table !== undefined;
+		return {status: isReady ? statusOk : statusUnavailable, body: ''};
+	}
+
+	#advance(): void {
+		this.#watch.refresh();
+		this.#gate.advance();
+		this.#timer = this.#opts.clock.startTimer(tickMs, () => {
+			this.#advance();
+		});
+	}
+}
--- /dev/null
+++ b/node/mesh-daemon/src/plain-server.ts
@@ -0,0 +1,61 @@
+import type {Buffer} from 'node:buffer';
+import {createServer, type Server} from 'node:http';
+import {splitAddress} from '@buckthornpoint/peers/peer-link.js';
+
+/** A small call and its whole body. */
+export type PlainCall = {
+	readonly method: string;
+	readonly path: string;
+	readonly body: string;
+};
+
+/** The answer to a small call. */
+export type PlainAnswer = {
+	readonly status: number;
+	readonly body: string;
+	readonly contentType?: string;
+};
+
+/** Bodies longer than this, in bytes, are cut off: heartbeats have some kilobytes. */
+const maxBodyBytes = 1024 * 1024;
+
+const statusTooLarge = 413;
+
+/** Serves small calls, each answered at once. */
+export class PlainServer {
+	readonly #server: Server;
+
+	constructor(handle: (call: PlainCall) => PlainAnswer) {
+		this.#server = createServer({noDelay: true}, (incoming, response) => {
+			const chunks: Buffer[] = [];
+			let size = 0;
+			incoming.on('data', (chunk: Buffer) => {
+				size += chunk.length;
+				if (size <= maxBodyBytes) {
+					chunks.push(chunk);
+				}
+			});
+			incoming.on('end', () => {
+				const body = chunks.map(chunk => chunk.toString('utf8')).join('');
+				const answer = size > maxBodyBytes ? {status: statusTooLarge, body: ''} : handle({method: incoming.method ?? 'GET', path: incoming.url ?? '/', body});
+				response.sendDate = false;
+				response.writeHead(answer.status, ['Content-Type', answer.contentType ?? 'application/json', 'Content-Length', String(answer.body.length)]);
+				response.end(answer.body);
+			});
+		});
+	}
+
+	/** `address` is host and port. */
+	async listen(address: string): Promise<void> {
+		const [host, port] = splitAddress(address);
+		await new Promise<void>((resolve, reject) => {
+			this.#server.once('error', reject);
+			this.#server.listen(port, host, resolve);
+		});
+	}
+
+	close(): void {
+		this.#server.close();
+		this.#server.closeAllConnections();
+	}
+}
--- /dev/null
+++ b/node/mesh-daemon/src/planned-stop.ts
@@ -0,0 +1,43 @@
+import type {BackendGate} from '@buckthornpoint/backend-link/backend-gate.js';
+import type {Clock} from '@buckthornpoint/clock/clock.js';
+import type {CallerServer} from '@buckthornpoint/ingress/caller-server.js';
+
+/** What a planned stop works with. */
+export type PlannedStopOpts = {
+	readonly clock: Clock;
+	readonly callers: CallerServer;
+	readonly gate: BackendGate;
+	/** Time until the process is killed, in milliseconds. */
+	readonly graceMs: number;
+	/** Called when the node takes nothing more from other nodes. */
+	readonly onLeaving: () => void;
+};
+
+/** How long the readiness answer is bad before the node takes no more connections, in milliseconds: two questions and some. */
+const notReadyMs = 2400;
+
+/** Time before the end of the grace time at which a node ends whatever it still has, in milliseconds. */
+const stopMarginMs = 400;
+
+/** Time at the end of a planned stop that is left for requests of other nodes, in milliseconds. */
+const handOffMs = 300;
+
+/** How often a stopping node looks whether it is done, in milliseconds. */
+const pollMs = 20;
+
+/** Answers what is here and ends, within the grace time. Callers are sent elsewhere after two questions got no good answer. */
+export async function runPlannedStop({clock, callers, gate, graceMs, onLeaving}: PlannedStopOpts): Promise<void> {
+	const startMs = clock.readMoment().monotonicMs;
+	const lastMs = startMs + graceMs - stopMarginMs;
+	callers.startStop();
+	await clock.sleep(Math.min(notReadyMs, graceMs / 2));
+	while (callers.countOpen() > 0 && clock.readMoment().monotonicMs < lastMs - handOffMs) {
+		await clock.sleep(pollMs);
+	}
+
+	callers.stopListening();
+	onLeaving();
+	while (gate.countRunning() > 0 && clock.readMoment().monotonicMs < lastMs) {
+		await clock.sleep(pollMs);
+	}
+}
--- /dev/null
+++ b/node/mesh-daemon/src/settings.ts
@@ -0,0 +1,92 @@
+import {
+	decodeDocument, expectDecimal, expectNumber, expectText, expectWord, type Decoder,
+} from '@buckthornpoint/documents/decoders.js';
+import {parseDocument} from '@buckthornpoint/documents/documents.js';
+import {expectField, expectObject, expectOptional} from '@buckthornpoint/documents/objects.js';
+import type {Finding} from '@buckthornpoint/errors/findings.js';
+import type {LogLevel} from '@buckthornpoint/log/events.js';
+import type {Result} from 'neverthrow';
+
+/** Host and port of each interface of a node. */
+export type ListenAddresses = {
+	/** Callers on the VM, and the backend server for its own calls. */
+	readonly callers: string;
+	readonly peers: string;
+	/** Asked whether the node takes work. */
+	readonly readiness: string;
+	/** Heartbeats and leave calls of the backend server. */
+	readonly announcements: string;
+};
+
+/** Bounds that the deployment sets, in seconds. */
+export type DeploymentBounds = {
+	/** From the acknowledgement that a server leaves until it must get nothing more. */
+	readonly drainSeconds: number;
+	/** From the order to empty a failure domain until its servers must get nothing more. */
+	readonly evacuationSeconds: number;
+	/** From SIGTERM to SIGKILL. */
+	readonly graceSeconds: number;
+	/** The longest grant of keys to a backend server. */
+	readonly maxHoldSeconds: number;
+	/** Extra attempts of a service for each request, over all nodes. */
+	readonly retryRatio: number;
+	/** Extra attempts of a service that are allowed besides, over all nodes. */
+	readonly retrySlack: number;
+};
+
+/** The settings of a node beside a backend server of a fleet. */
+export type MeshSettings = {
+	readonly vmId: string;
+	readonly failureDomain: string;
+	/** The service of the backend server on this VM, until the server says otherwise. */
+	readonly service: string;
+	/** Host and port of the backend server. */
+	readonly backendServer: string;
+	readonly listen: ListenAddresses;
+	/** Host and port of the platform's store. */
+	readonly store: string;
+	/** The usual time between two heartbeats of the backend server. */
+	readonly heartbeatSeconds: number;
+	readonly bounds: DeploymentBounds;
+	readonly logLevel: LogLevel;
+	/** Port of the metrics interface, on all interfaces; 0 for none. */
+	readonly metricsPort: number;
+};
+
+const maxPort = 65_535;
+const maxSeconds = 3600;
+const maxRetries = 1_000_000;
+
+const addressDecoder = expectText({maxLength: 255, pattern: /^[\w.\-]+:\d{1,5}$/v, description: 'host and port, such as "10.0.0.9:7000"'});
+const nameDecoder = expectText({maxLength: 200});
+const secondsDecoder = expectDecimal({min: 0, max: maxSeconds});
+
+const settingsDecoder: Decoder<MeshSettings> = expectObject<MeshSettings>({
+	vmId: expectField(nameDecoder),
+	failureDomain: expectField(nameDecoder),
+	service: expectField(nameDecoder),
+	backendServer: expectField(addressDecoder),
+	listen: expectField(expectObject<ListenAddresses>({
+		callers: expectField(addressDecoder),
+		peers: expectField(addressDecoder),
+		readiness: expectField(addressDecoder),
+		announcements: expectField(addressDecoder),
+	})),
+	store: expectField(addressDecoder),
+	heartbeatSeconds: expectField(expectDecimal({min: 0.01, max: maxSeconds})),
+	bounds: expectField(expectObject<DeploymentBounds>({
+		drainSeconds: expectField(secondsDecoder),
+		evacuationSeconds: expectField(secondsDecoder),
+		graceSeconds: expectField(secondsDecoder),
+		maxHoldSeconds: expectField(secondsDecoder),
+		retryRatio: expectField(expectDecimal({min: 0, max: 1})),
+		retrySlack: expectField(expectDecimal({min: 0, max: maxRetries})),
+	})),
+	logLevel: expectOptional(expectWord(['error', 'warn', 'info', 'debug']), 'info'),
+	metricsPort: expectOptional(expectNumber({min: 0, max: maxPort}), 0),
+});
+
+/** Decodes the settings from JSON with comments. All findings are returned together, with their place. */
+export function parseMeshSettings(text: string, file: string): Result<MeshSettings, readonly Finding[]> {
+	return parseDocument(text, file).andThen(document => decodeDocument(document, settingsDecoder));
+}
--- /dev/null
+++ b/node/peers/src/peer-link.ts
@@ -0,0 +1,229 @@
+import type {Buffer} from 'node:buffer';
+import {createConnection, type Socket} from 'node:net';
+import type {Clock, Timer} from '@buckthornpoint/clock/clock.js';
+import {
+	encodeFrame, FrameReader, frameTypes, type Frame, type FrameType,
+} from '@buckthornpoint/frames/frames.js';
+
+/** How a question to another node ended without an answer. */
+export type PeerFailure = {
+	/** Whether the question may have reached the other node. */
+	readonly wasSent: boolean;
+	readonly reason: string;
+};
+
+/** What becomes of a question. */
+export type PeerHandler = {
+	readonly onAnswer: (meta: unknown, body: Uint8Array) => void;
+	readonly onFailure: (failure: PeerFailure) => void;
+};
+
+/** How a link behaves. */
+export type PeerLinkOpts = {
+	/** Host and port of the other node's listener. */
+	readonly address: string;
+	readonly clock: Clock;
+	/** Called when the link was lost or could not be opened. */
+	readonly onDown: (reason: string) => void;
+};
+
+/** Nodes are at most some milliseconds apart; an opening packet that was lost is sent again after a second. In milliseconds. */
+const connectTimeoutMs = 400;
+
+/** How often a link with open questions is checked, in milliseconds. */
+const checkIntervalMs = 250;
+
+/** A link from which nothing came for this long though an answer to a ping is due is silent. In milliseconds. */
+const silentMs = 900;
+
+/** After a failure the link stays down for this long, in milliseconds, so that questions fail at once. */
+const downMs = 250;
+
+/** A connection to another node. It carries any number of questions at a time, and is opened when the first one comes. */
+export class PeerLink {
+	readonly #opts: PeerLinkOpts;
+	readonly #pending = new Map<number, PeerHandler>();
+	#socket: Socket | undefined;
+	#reader = new FrameReader();
+	#isConnected = false;
+	#unsent: Buffer[] = [];
+	#nextId = 1;
+	#timer: Timer | undefined;
+	#heardMs = 0;
+	#pingedMs: number | undefined;
+	#downUntilMs = Number.NEGATIVE_INFINITY;
+	#isClosed = false;
+
+	constructor(opts: PeerLinkOpts) {
+		this.#opts = opts;
+	}
+
+	/** Whether questions fail at once because the other node was not reached a moment ago. */
+	isDown(): boolean {
+		return this.#readNowMs() < this.#downUntilMs;
+	}
+
+	/** Sends a question. Returns its number, by which it may be cancelled; undefined where it failed at once. */
+	ask(type: FrameType, meta: unknown, handler: PeerHandler, body?: Uint8Array): number | undefined {
+		if (this.#isClosed || this.isDown()) {
+			handler.onFailure({wasSent: false, reason: 'the node was not reached a moment ago'});
+			return undefined;
+		}
+
+		const id = this.#nextId++;
+		this.#pending.set(id, handler);
+		this.#write(encodeFrame(type, id, meta, body));
+		return id;
+	}
+
+	/** Tells the other node something that has no answer. It is lost where there is no connection. */
+	announce(type: FrameType, id: number, meta?: unknown): void {
+		if (!this.#isClosed && !this.isDown()) {
+			this.#write(encodeFrame(type, id, meta));
+		}
+	}
+
+	/** Forgets a question; an answer to it is dropped. */
+	removeQuestion(id: number): void {
+		this.#pending.delete(id);
+	}
+
+	close(): void {
+		this.#isClosed = true;
+		this.#fail('the link was closed', false);
+	}
+
+	#write(bytes: Buffer): void {
+		if (this.#socket === undefined) {
+			this.#open();
+		}
+
+		if (this.#isConnected) {
+			this.#socket?.write(bytes);
+		} else {
+			this.#unsent.push(bytes);
+		}
+
+		this.#startTimer();
+	}
+
+	#open(): void {
+		const [host, port] = splitAddress(this.#opts.address);
+		const socket = createConnection({host, port, noDelay: true});
+		this.#socket = socket;
+		this.#reader = new FrameReader();
+		this.#isConnected = false;
+		this.#heardMs = this.#readNowMs();
+		this.#pingedMs = undefined;
+		socket.on('connect', () => {
+			if (this.#socket === socket) {
+				this.#handleConnect(socket);
+			}
+		});
+		socket.on('data', chunk => {
+			if (this.#socket === socket) {
+				this.#handleData(chunk);
+			}
+		});
+		for (const event of ['error', 'end', 'close'] as const) {
+			socket.on(event, (error?: Error | boolean) => {
+				if (this.#socket === socket) {
+					this.#fail(error instanceof Error ? error.message : 'the node ended the connection', true);
+				}
+			});
+		}
+	}
+
+	#handleConnect(socket: Socket): void {
+		this.#isConnected = true;
+		this.#heardMs = this.#readNowMs();
+		socket.cork();
+		for (const bytes of this.#unsent.splice(0)) {
+			socket.write(bytes);
+		}
+
+		socket.uncork();
+	}
+
+	#handleData(chunk: Buffer): void {
+		this.#heardMs = this.#readNowMs();
+		this.#pingedMs = undefined;
+		try {
+			for (const frame of this.#reader.read(chunk)) {
+				this.#handleFrame(frame);
+			}
+		} catch (error) {
+			this.#fail(error instanceof Error ? error.message : String(error), true);
+		}
+	}
+
+	#handleFrame({type, id, meta, body}: Frame): void {
+		if (type === frameTypes.response || type === frameTypes.reply) {
+			const handler = this.#pending.get(id);
+			this.#pending.delete(id);
+			handler?.onAnswer(meta, body);
+		}
+	}
+
+	#startTimer(): void {
+		this.#timer ??= this.#opts.clock.startTimer(checkIntervalMs, () => {
+			this.#timer = undefined;
+			this.#check();
+		});
+	}
+
+	#check(): void {
+		if (this.#socket === undefined || this.#pending.size === 0) {
+			return;
+		}
+
+		const nowMs = this.#readNowMs();
+		if (!this.#isConnected && nowMs - this.#heardMs >= connectTimeoutMs) {
+			this.#fail('the node did not accept the connection in time', true);
+			return;
+		}
+
+		if (this.#isConnected && this.#pingedMs !== undefined && nowMs - this.#pingedMs >= silentMs) {
+			this.#fail('the connection is silent', true);
+			return;
+		}
+
+		if (this.#isConnected && this.#pingedMs === undefined && nowMs - this.#heardMs >= checkIntervalMs) {
+			this.#pingedMs = nowMs;
+			this.#socket.write(encodeFrame(frameTypes.ping, 0, undefined));
+		}
+
+		this.#startTimer();
+	}
+
+	#fail(reason: string, isDown: boolean): void {
+		const wasSent = this.#isConnected;
+		const socket = this.#socket;
+		this.#socket = undefined;
+		this.#isConnected = false;
+		this.#unsent = [];
+		this.#timer?.close();
+		this.#timer = undefined;
+		socket?.destroy();
+		const pending = [...this.#pending.values()];
+		this.#pending.clear();
+		if (isDown) {
+			this.#downUntilMs = this.#readNowMs() + downMs;
+			this.#opts.onDown(reason);
+		}
+
+		for (const handler of pending) {
+			handler.onFailure({wasSent, reason});
+		}
+	}
+
+	#readNowMs(): number {
+		return this.#opts.clock.readMoment().monotonicMs;
+	}
+}
+
+/** Splits host and port. */
+export function splitAddress(address: string): readonly [host: string, port: number] {
+	const colon = address.lastIndexOf(':');
+	return [address.slice(0, colon), Number(address.slice(colon + 1))];
+}
--- /dev/null
+++ b/node/peers/src/peer-links.ts
@@ -0,0 +1,79 @@
+import type {Clock} from '@buckthornpoint/clock/clock.js';
+import {frameTypes} from '@buckthornpoint/frames/frames.js';
+import {PeerLink} from './peer-link.js';
+
+/** What the links share. */
+export type PeerLinksOpts = {
+	readonly clock: Clock;
+	readonly onDown: (address: string, reason: string) => void;
+};
+
+/** The links of a node to all others, by address. */
+export class PeerLinks {
+	readonly #opts: PeerLinksOpts;
+	readonly #links = new Map<string, PeerLink>();
+
+	constructor(opts: PeerLinksOpts) {
+		this.#opts = opts;
+	}
+
+	/** Returns the link to a node, a new one where there is none. */
+	get(address: string): PeerLink {
+		const existing = this.#links.get(address);
+		if (existing !== undefined) {
+			return existing;
+		}
+
+		const link = new PeerLink({
+			address,
+			clock: this.#opts.clock,
+			onDown: reason => {
+				this.#opts.onDown(address, reason);
+			},
+		});
+		this.#links.set(address, link);
+		return link;
+	}
+
+	/** Calls another node and waits for its reply at most so long; undefined where none came. */
+	async call(address: string, meta: unknown, timeoutMs: number): Promise<unknown> {
+		return new Promise(resolve => {
+			const link = this.get(address);
+			const timer = this.#opts.clock.startTimer(timeoutMs, () => {
+				if (id !== undefined) {
+					link.removeQuestion(id);
+				}
+
+				resolve(undefined);
+			});
+			const id = link.ask(frameTypes.call, meta, {
+				onAnswer(answer) {
+					timer.close();
+					resolve(answer);
+				},
+				onFailure() {
+					timer.close();
+					resolve(undefined);
+				},
+			});
+		});
+	}
+
+	/** Closes the links to nodes that are not among the given ones any more. */
+	removeOthers(addresses: ReadonlySet<string>): void {
+		for (const [address, link] of this.#links) {
+			if (!addresses.has(address)) {
+				link.close();
+				this.#links.delete(address);
+			}
+		}
+	}
+
+	close(): void {
+		for (const link of this.#links.values()) {
+			link.close();
+		}
+
+		this.#links.clear();
+	}
+}
--- /dev/null
+++ b/node/peers/src/peer-server.ts
@@ -0,0 +1,137 @@
+import {createServer, type Server, type Socket} from 'node:net';
+import {
+	encodeFrame, FrameReader, frameTypes, type Frame,
+} from '@buckthornpoint/frames/frames.js';
+
+/** Answers a question of another node, once. */
+export type Reply = (meta: unknown, body?: Uint8Array) => void;
+
+/** What a node does with the messages of others. */
+export type PeerServerHandlers = {
+	/** Takes a request for the backend server beside. Returns how it is given up. */
+	readonly onRequest: (meta: unknown, body: Uint8Array, reply: Reply) => () => void;
+	/** Takes a control call. */
+	readonly onCall: (meta: unknown, reply: Reply) => void;
+	/** Takes a message that has no answer. */
+	readonly onNotice: (meta: unknown) => void;
+	/** Called with bytes that are no frames, and with connections that broke. */
+	readonly onProblem: (problem: string) => void;
+};
+
+/** Listens for the other nodes. */
+export class PeerServer {
+	readonly #handlers: PeerServerHandlers;
+	readonly #server: Server;
+	readonly #sockets = new Set<Socket>();
+
+	constructor(handlers: PeerServerHandlers) {
+		this.#handlers = handlers;
+		this.#server = createServer({noDelay: true}, socket => {
+			this.#serveSocket(socket);
+		});
+	}
+
+	async listen(host: string, port: number): Promise<void> {
+		await new Promise<void>((resolve, reject) => {
+			this.#server.once('error', reject);
+			this.#server.listen(port, host, resolve);
+		});
+	}
+
+	/** The port in use, which the system chose where 0 was asked for. */
+	getPort(): number {
+		const address = this.#server.address();
+		return typeof address === 'object' && address !== null ? address.port : 0;
+	}
+
+	close(): void {
+		this.#server.close();
+		for (const socket of this.#sockets) {
+			socket.destroy();
+		}
+	}
+
+	#serveSocket(socket: Socket): void {
+		const reader = new FrameReader();
+		const cancels = new Map<number, () => void>();
+		this.#sockets.add(socket);
+		socket.on('data', chunk => {
+			try {
+				for (const frame of reader.read(chunk)) {
+					this.#handleFrame(frame, socket, cancels);
+				}
+			} catch (error) {
+				this.#handlers.onProblem(String(error));
+				socket.destroy();
+			}
+		});
+		socket.on('error', error => {
+			this.#handlers.onProblem(error.message);
+		});
+		socket.on('close', () => {
+			this.#sockets.delete(socket);
+			for (const cancel of cancels.values()) {
+				cancel();
+			}
+		});
+	}
+
+	#handleFrame(frame: Frame, socket: Socket, cancels: Map<number, () => void>): void {
+		const {type, id, meta} = frame;
+		switch (type) {
+			case frameTypes.ping: {
+				socket.write(encodeFrame(frameTypes.pong, id, undefined));
+				break;
+			}
+
+			case frameTypes.request: {
+				this.#handleRequest(frame, socket, cancels);
+				break;
+			}
+
+			case frameTypes.cancel: {
+				const cancel = cancels.get(id);
+				cancels.delete(id);
+				cancel?.();
+				break;
+			}
+
+			case frameTypes.call: {
+				this.#handlers.onCall(meta, answer => {
+					writeIfOpen(socket, encodeFrame(frameTypes.reply, id, answer));
+				});
+				break;
+			}
+
+			case frameTypes.notice: {
+				this.#handlers.onNotice(meta);
+				break;
+			}
+
+			case frameTypes.response:
+			case frameTypes.reply:
+			case frameTypes.pong: {
+				this.#handlers.onProblem(`a node that asked nothing got a frame of type ${type}`);
+				break;
+			}
+		}
+	}
+
+	#handleRequest({id, meta, body}: Frame, socket: Socket, cancels: Map<number, () => void>): void {
+		let isAnswered = false;
+		const cancel = this.#handlers.onRequest(meta, body, (answer, answerBody) => {
+			isAnswered = true;
+			cancels.delete(id);
+			writeIfOpen(socket, encodeFrame(frameTypes.response, id, answer, answerBody));
+		});
+		if (!isAnswered) {
+			cancels.set(id, cancel);
+		}
+	}
+}
+
+function writeIfOpen(socket: Socket, bytes: Uint8Array): void {
+	if (!socket.destroyed) {
+		socket.write(bytes);
+	}
+}
--- /dev/null
+++ b/tools/bundle.mjs
@@ -0,0 +1,45 @@
+/** Bundles the node of a fleet into one file, straight from the sources of the workspace. */
+import {existsSync, readdirSync, readFileSync} from 'node:fs';
+import path from 'node:path';
+import {build} from 'esbuild';
+
+const root = path.resolve(import.meta.dirname, '..');
+const folders = listPackages();
+
+await build({
+	entryPoints: [path.join(root, 'node/mesh-daemon/src/main.ts')],
+	outfile: path.join(root, 'target/buckthornpoint-mesh-node.mjs'),
+	bundle: true,
+	platform: 'node',
+	format: 'esm',
+	target: 'node20',
+	// UMD packages can only be bundled from their modules.
+	mainFields: ['module', 'main'],
+	conditions: ['node', 'import'],
+	minifySyntax: true,
+	legalComments: 'none',
+	logLevel: 'warning',
+	// Packages in CommonJS expect a function of this name.
+	banner: {js: 'import {createRequire as createBundleRequire} from \'node:module\'; const require = createBundleRequire(import.meta.url);'},
+	plugins: [{
+		name: 'workspace-sources',
+		setup(bundler) {
+			bundler.onResolve({filter: /^@buckthornpoint\//v}, ({path: specifier}) => {
+				const [scope, name, ...rest] = specifier.split('/');
+				const folder = folders.get(`${scope}/${name}`);
+				const file = rest.join('/').replace(/\.js$/v, '.ts');
+				return folder === undefined || file === '' ? undefined : {path: path.join(folder, 'src', file)};
+			});
+		},
+	}],
+});
+
+function listPackages() {
+	const {workspaces} = JSON.parse(readFileSync(path.join(root, 'package.json'), 'utf8'));
+	const directories = workspaces.flatMap(pattern => pattern.endsWith('/*')
+		? readdirSync(path.join(root, pattern.slice(0, -2))).map(name => path.join(root, pattern.slice(0, -2), name))
+		: [path.join(root, pattern)]);
+	return new Map(directories.filter(directory => existsSync(path.join(directory, 'package.json'))).map(directory =>
+		[JSON.parse(readFileSync(path.join(directory, 'package.json'), 'utf8')).name, directory]));
+}
+
--- a/xo.config.js
+++ b/xo.config.js
@@ -1,6 +1,6 @@
 /** The rules of XO for the whole workspace, with the customary short names that this code keeps. */
 const config = [
-	{ignores: ['**/lib/**', '**/generated/**']},
+	{ignores: ['**/lib/**', '**/generated/**', 'target/**', 'journal/**']},
 	{
 		files: ['**/*.ts'],
 		rules: {
@@ -16,6 +16,13 @@
 			'@typescript-eslint/no-floating-promises': ['error', {allowForKnownSafeCalls: [{from: 'package', name: ['test', 'describe', 'it'], package: 'node:test'}]}],
 		},
 	},
+	{
+		// What reads and writes bytes of sockets works on the buffers that sockets give and take.
+		files: ['wire/frames/**/*.ts', 'node/backend-link/**/*.ts', 'node/peers/**/*.ts', 'node/ingress/**/*.ts', 'node/mesh-daemon/**/*.ts', 'stand-ins/fleet/**/*.ts'],
+		rules: {
+			'@typescript-eslint/no-restricted-types': 'off',
+		},
+	},
 	{
 		files: ['features/**/*.ts'],
 		rules: {
