fix: lose no request of other nodes at a planned stop or a change of the controller

Change: a directory that may lack nodes adds to the earlier one; links with open requests stay; a stopping node says so, refuses what is still to come and ends its connections in order; an answer without a length ends with its connection at the caller too.

--- /dev/null
+++ b/core/admission/test/slot-queue.test.ts
@@ -0,0 +1,101 @@
+import assert from 'node:assert/strict';
+import test from 'node:test';
+import fc from 'fast-check';
+import {RateWindow} from '../src/rate-window.js';
+import {SlotQueue, type SlotRefusal, type SlotRequest} from '../src/slot-queue.js';
+
+type Probe = {readonly started: string[]; readonly refused: Array<readonly [string, SlotRefusal]>; create: (name: string, opts?: Partial<SlotRequest>) => SlotRequest};
+
+function createProbe(): Probe {
+	const started: string[] = [];
+	const refused: Array<readonly [string, SlotRefusal]> = [];
+	return {
+		started, refused, create: (name, opts = {}) => ({
+			priority: 1, targetEndMs: 1000, endMs: 2000, start() {
+				started.push(name);
+			}, refuse(refusal) {
+				refused.push([name, refusal]);
+			}, ...opts,
+		}),
+	};
+}
+
+test('more urgent requests get the next slot, and the others follow in order of arrival', () => {
+	const queue = new SlotQueue({slots: 1});
+	const {started, create} = createProbe();
+	queue.add(create('first'), 0);
+	queue.add(create('later'), 0);
+	queue.add(create('last'), 0);
+	queue.add(create('urgent', {priority: 0}), 0);
+	for (let run = 0; run < 3; run++) {
+		queue.release(50, 10);
+	}
+
+	assert.deepEqual(started, ['first', 'urgent', 'later', 'last']);
+});
+
+test('a request that can not be answered within its target is refused when it arrives, with the time to come back', () => {
+	const queue = new SlotQueue({slots: 1});
+	const {started, refused, create} = createProbe();
+	for (let index = 0; index < 6; index++) {
+		queue.add(create(`r${index}`, {targetEndMs: 170}), 0);
+	}
+
+	// Each takes 50 ms: the third begins at 100 ms and ends at 150 ms, the fourth would be late.
+	assert.deepEqual(started, ['r0']);
+	assert.deepEqual(refused.map(([name, {reason}]) => [name, reason]), [['r3', 'overloaded'], ['r4', 'overloaded'], ['r5', 'overloaded']]);
+	assert.ok(refused.every(([, {retryAfterMs}]) => retryAfterMs >= 50));
+});
+
+test('a request that waited until its end is refused, never started', () => {
+	const queue = new SlotQueue({slots: 1});
+	const {started, refused, create} = createProbe();
+	queue.add(create('first'), 0);
+	queue.add(create('short', {endMs: 120, targetEndMs: 120}), 0);
+	queue.release(50, 119);
+	assert.deepEqual(started, ['first']);
+	assert.equal(refused[0]?.[1].reason, 'expired');
+});
+
+test('a request that was taken back is neither started nor refused', () => {
+	const queue = new SlotQueue({slots: 1});
+	const {started, refused, create} = createProbe();
+	queue.add(create('first'), 0);
+	queue.add(create('gone'), 0)();
+	queue.release(50, 10);
+	queue.close();
+	assert.deepEqual([started, refused], [['first'], []]);
+	assert.equal(queue.readLoad().waiting, 0);
+});
+
+test('a cold server never gets more starts in a second than it bears, whatever the arrivals', () => {
+	fc.assert(fc.property(fc.array(fc.nat({max: 40}), {maxLength: 200}), gaps => {
+		const queue = new SlotQueue({slots: 1000});
+		queue.setColdLimit(10);
+		const starts: number[] = [];
+		let nowMs = 0;
+		for (const gapMs of gaps) {
+			nowMs += gapMs;
+			const atMs = nowMs;
+			queue.add({
+				priority: 1, targetEndMs: nowMs + 5000, endMs: nowMs + 5000, start() {
+					starts.push(atMs);
+				}, refuse() {
+					// A refusal is fine here.
+				},
+			}, nowMs);
+		}
+
+		for (const start of starts) {
+			assert.ok(starts.filter(other => other > start - 1000 && other <= start).length <= 10);
+		}
+	}));
+});
+
+test('a window that replaces another one counts what the other counted', () => {
+	const past = new RateWindow({limit: 5, spanMs: 1000});
+	past.note(0);
+	const window = new RateWindow({limit: 1, spanMs: 1000, past});
+	assert.equal(window.isFull(500), true);
+	assert.equal(window.isFull(1000), false);
+});
--- a/core/key-ranges/src/key-ranges.ts
+++ b/core/key-ranges/src/key-ranges.ts
@@ -80,14 +80,34 @@
 	return merged;
 }
 
-/** Returns the parts of a range that lie in none of the others. */
-export function removeRanges(range: KeyRange, others: readonly KeyRange[]): readonly KeyRange[] {
-	let rest: readonly KeyRange[] = [range];
-	for (const other of others) {
-		rest = rest.flatMap(part => hasOverlap(part, other)
-			? [{from: part.from, to: other.from - 1}, {from: other.to + 1, to: part.to}].filter(piece => piece.from <= piece.to)
-			: [part]);
+/** Returns the parts of ranges that lie in none of the others, in one pass. Neither list overlaps in itself. */
+export function removeCovered(ranges: readonly KeyRange[], others: readonly KeyRange[]): readonly KeyRange[] {
+	const covers = others.toSorted(compareRanges);
+	const rest: KeyRange[] = [];
+	let first = 0;
+	for (const range of ranges.toSorted(compareRanges)) {
+		while (first < covers.length && covers[first]!.to < range.from) {
+			first++;
+		}
+
+		let {from} = range;
+		for (let index = first; index < covers.length && covers[index]!.from <= range.to; index++) {
+			const cover = covers[index]!;
+			if (cover.from > from) {
+				rest.push({from, to: cover.from - 1});
+			}
+
+			from = Math.max(from, cover.to + 1);
+		}
+
+		if (from <= range.to) {
+			rest.push({from, to: range.to});
+		}
 	}
 
 	return rest;
 }
+
+function compareRanges(left: KeyRange, right: KeyRange): number {
+	return left.from - right.from;
+}
--- a/core/key-ranges/src/messages.ts
+++ b/core/key-ranges/src/messages.ts
@@ -81,6 +81,8 @@
 	readonly assignment?: readonly GrantedRange[];
 	readonly directoryVersion: string;
 	readonly directory?: readonly DirectoryEntry[];
+	/** Whether every node has had time to be heard: until then the directory adds to the earlier one. */
+	readonly isDirectoryComplete: boolean;
 	readonly maps?: readonly RangeMapRecord[];
 	/** The operator's document as it lies in the store, where it is newer than the node's. */
 	readonly routesDocument?: string;
--- a/core/key-ranges/src/range-controller.ts
+++ b/core/key-ranges/src/range-controller.ts
@@ -3,7 +3,7 @@
 } from './controller-state.js';
 import {HandoverTable} from './handover-table.js';
 import {
-	hasOverlap, removeRanges, type BackendKey, type GrantedRange, type KeyRange,
+	hasOverlap, removeCovered, type BackendKey, type GrantedRange, type KeyRange,
 } from './key-ranges.js';
 import {judgeBackend, type ServiceRules, type SilenceOpts} from './judge-backend.js';
 import type {BackendReport, HeartbeatReply, MemberHeartbeat} from './messages.js';
@@ -28,6 +28,8 @@
 export type ControllerStart = {
 	readonly epoch: number;
 	readonly maps: readonly RangeMap[];
+	/** The moment of the takeover, on this controller's clock. */
+	readonly startMs: number;
 	/** Until when earlier controllers may have let nodes grant, on this controller's clock. */
 	readonly earlierLeasesEndMs: number;
 };
@@ -49,6 +51,7 @@
 	readonly #withheld = new Map<string, readonly KeyRange[]>();
 	readonly #assignmentVersions = new Map<BackendKey, string>();
 	readonly #earlierLeasesEndMs: number;
+	readonly #startMs: number;
 	#moves: readonly PlannedMove[] = [];
 	#counter = 0;
 
@@ -56,6 +59,7 @@
 		this.epoch = start.epoch;
 		this.#opts = opts;
 		this.#earlierLeasesEndMs = start.earlierLeasesEndMs;
+		this.#startMs = start.startMs;
 		for (const map of start.maps) {
 			this.#maps.set(map.service, map);
 		}
@@ -65,7 +69,7 @@
 	handleHeartbeat(heartbeat: MemberHeartbeat, nowMs: number, maxLeaseMs: number): HeartbeatReply {
 		if (this.#vms.isOutdated(heartbeat)) {
 			return {
-				epoch: this.epoch, leaseMs: 0, assignmentVersion: '', directoryVersion: '', isStoreReached: true,
+				epoch: this.epoch, leaseMs: 0, assignmentVersion: '', directoryVersion: '', isDirectoryComplete: false, isStoreReached: true,
 			};
 		}
 
@@ -82,13 +86,15 @@
 		}
 
 		const assignmentVersion = backend === undefined ? '' : this.#getAssignmentVersion(backend.key);
-		const directoryVersion = `${this.epoch}.${this.#vms.version}`;
+		const isDirectoryComplete = nowMs - this.#startMs >= this.#opts.gatherMs;
+		const directoryVersion = `${this.epoch}.${this.#vms.version}${isDirectoryComplete ? '' : ' partial'}`;
 		return {
 			epoch: this.epoch,
 			leaseMs,
 			assignmentVersion,
 			...(backend !== undefined && backend.assignmentVersion !== assignmentVersion && {assignment: this.#listAssignment(backend)}),
 			directoryVersion,
+			isDirectoryComplete,
 			...(heartbeat.directoryVersion !== directoryVersion && {directory: this.#vms.listDirectory()}),
 			...this.#listNewerMaps(heartbeat),
 			isStoreReached: true,
@@ -257,7 +263,7 @@
 		const segments = this.#maps.get(service)?.segments ?? [];
 		return segments
 			.filter(segment => segment.owner === key && !withheld.some(range => hasOverlap(range, segment)))
-			.flatMap(segment => removeRanges(segment, moves).map(range => ({...range, fence: segment.fence})))
+			.flatMap(segment => removeCovered([segment], moves).map(range => ({...range, fence: segment.fence})))
 			.map(({from, to, fence}) => {
 				const handover = this.#handovers.findHandover(service, {from, to});
 				return {
--- a/core/key-ranges/src/range-member.ts
+++ b/core/key-ranges/src/range-member.ts
@@ -1,5 +1,5 @@
 import {
-	hasOverlap, mergeGrants, mergeRanges, removeRanges, type BackendKey, type GrantedRange, type KeyRange, type ReleasedRange,
+	findByKey, hasOverlap, mergeGrants, mergeRanges, removeCovered, type BackendKey, type GrantedRange, type KeyRange, type ReleasedRange,
 } from './key-ranges.js';
 import type {HeartbeatReply} from './messages.js';
 
@@ -105,7 +105,7 @@
 		const holdMs = Math.min(this.#opts.holdMs, (this.#leaseEndMs - nowMs) / (1 + clockDrift));
 		if (this.#assignmentVersion === '' || holdMs < minHoldMs) {
 			// The server goes on with what it holds until its earlier grant ends.
-			this.#mayHold = nowMs < this.#holdEndMs ? mergeRanges([...this.#mayHold, ...holds.holds]) : holds.holds;
+			this.#mayHold = nowMs < this.#holdEndMs ? mergeRanges([...this.#mayHold, ...holds.holds]) : mergeRanges(holds.holds);
 			return undefined;
 		}
 
@@ -117,8 +117,8 @@
 	/** Tells whether the backend server has a grant of the key that is still in force. */
 	isHeld(key: number, nowMs: number): boolean {
 		return nowMs < this.#holdEndMs
-			&& this.#assignment.some(range => range.from <= key && key <= range.to)
-			&& this.#mayHold.some(range => range.from <= key && key <= range.to);
+			&& findByKey(this.#assignment, key) !== undefined
+			&& findByKey(this.#mayHold, key) !== undefined;
 	}
 
 	/** Lists the ranges that the controller assigned. */
@@ -132,7 +132,7 @@
 			return [];
 		}
 
-		return this.#mayHold.flatMap(held => removeRanges(held, this.#assignment));
+		return removeCovered(this.#mayHold, this.#assignment);
 	}
 
 	/** Lists what the backend server released and nobody holds yet, as far as this node knows. */
--- /dev/null
+++ b/core/routes/test/routes.test.ts
@@ -0,0 +1,44 @@
+import assert from 'node:assert/strict';
+import test from 'node:test';
+import fc from 'fast-check';
+import {RouteIndex, type Route, type RouteTable} from '../src/routes.js';
+import {WeightedSplit} from '../src/split.js';
+
+function createRoute(host: string, prefix: string, services: Route['services'] = [{service: 's', weight: 1}]): Route {
+	return {
+		name: `${host}${prefix}`, host, prefix, kind: 'idempotent', priority: 1, timeoutMs: 1000, targetMs: 100, maxAttempts: 2, services,
+	};
+}
+
+function createTable(routes: readonly Route[]): RouteTable {
+	return {
+		version: 1, routes, services: new Map(), limits: {
+			headerBytes: 1, bodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1,
+		},
+	};
+}
+
+test('the longest prefix of the host wins, and a prefix ends at a slash', () => {
+	const index = new RouteIndex(createTable([createRoute('a.example', '/x/'), createRoute('a.example', '/x/y/'), createRoute('b.example', '/')]));
+	assert.equal(index.findRoute('a.example', '/x/y/z')?.prefix, '/x/y/');
+	assert.equal(index.findRoute('A.example:8080', '/x/yz?q=/x/y/')?.prefix, '/x/');
+	assert.equal(index.findRoute('a.example', '/x'), undefined);
+	assert.equal(index.findRoute('b.example', '/anything')?.prefix, '/');
+	assert.equal(index.findRoute('c.example', '/x/'), undefined);
+});
+
+test('the parts of a split are off their share by less than two requests at any moment', () => {
+	fc.assert(fc.property(fc.array(fc.integer({min: 1, max: 99}), {minLength: 2, maxLength: 4}), weights => {
+		const route = createRoute('a.example', '/', weights.map((weight, index) => ({service: `s${index}`, weight})));
+		const total = weights.reduce((sum, weight) => sum + weight, 0);
+		const split = new WeightedSplit();
+		const counts = new Map<string, number>();
+		for (let request = 1; request <= 300; request++) {
+			const service = split.choose(route, 1);
+			counts.set(service, (counts.get(service) ?? 0) + 1);
+			for (const {service: each, weight} of route.services) {
+				assert.ok(Math.abs((counts.get(each) ?? 0) - (request * weight / total)) < weights.length);
+			}
+		}
+	}));
+});
--- a/node/backend-link/src/judge-response.ts
+++ b/node/backend-link/src/judge-response.ts
@@ -19,7 +19,9 @@
 const firstServerFailure = 500;
 
 /** Judges a whole answer of the backend server. Only the server's own word proves that it did not run a request. */
-export function judgeResponse({status, headers, body}: ParsedResponse): JudgedResponse {
+export function judgeResponse({
+	status, headers, body, isFramed,
+}: ParsedResponse): JudgedResponse {
 	const fields = readBackendHeaders(status, headers);
 	const {coldMs} = fields;
 	if (fields.isNotRun) {
@@ -33,7 +35,7 @@
 
 	return {
 		coldMs, outcome: {
-			kind: 'answer', status, headers: selectAnswerHeaders(headers), body,
+			kind: 'answer', status, headers: selectAnswerHeaders(headers), body, isFramed,
 		},
 	};
 }
--- a/node/backend-link/src/outcome.ts
+++ b/node/backend-link/src/outcome.ts
@@ -26,8 +26,8 @@
 
 /** What became of a request at the node beside the owner. */
 export type Outcome
-	/** The backend server's whole answer. */
-	= | {readonly kind: 'answer'; readonly status: number; readonly headers: readonly string[]; readonly body: Uint8Array}
+	/** The backend server's answer. One that had no length goes on without one, since it may have been cut off. */
+	= | {readonly kind: 'answer'; readonly status: number; readonly headers: readonly string[]; readonly body: Uint8Array; readonly isFramed: boolean}
 		/** Proved: no backend server began the request. `wasOffered` where it was sent to one that refused it. */
 		| {readonly kind: 'not-run'; readonly reason: OutcomeReason; readonly retryAfterMs: number; readonly wasOffered: boolean}
 		/** A backend server may have run the request. */
--- a/node/backend-link/src/response-parser.ts
+++ b/node/backend-link/src/response-parser.ts
@@ -6,6 +6,8 @@
 	/** Name, value, name, value, as on the wire. */
 	readonly headers: readonly string[];
 	readonly body: Buffer;
+	/** Whether the answer had a length. One that ended with its connection may have been cut off, and nobody can tell. */
+	readonly isFramed: boolean;
 	/** Whether the connection may carry another request. */
 	readonly isKeptAlive: boolean;
 	/** How long the server keeps an idle connection, in milliseconds, where it says so. */
@@ -161,7 +163,7 @@
 		this.#head = undefined;
 		this.#chunks = [];
 		return {
-			status: head.status, headers: head.headers, body, isKeptAlive: head.isKeptAlive && head.framing !== 'close', idleMs: head.idleMs,
+			status: head.status, headers: head.headers, body, isFramed: head.framing !== 'close', isKeptAlive: head.isKeptAlive && head.framing !== 'close', idleMs: head.idleMs,
 		};
 	}
 
--- a/node/cell-link/src/control-task.ts
+++ b/node/cell-link/src/control-task.ts
@@ -128,7 +128,10 @@
 			this.#opts.onEvent({kind: 'store-failed', operation: 'decode a map', problem});
 		}
 
-		this.#controller = new RangeController({epoch: record.epoch, maps, earlierLeasesEndMs: this.#readNowMs() + earlierLeasesMs}, this.#opts.times);
+		const startMs = this.#readNowMs();
+		this.#controller = new RangeController({
+			epoch: record.epoch, maps, startMs, earlierLeasesEndMs: startMs + earlierLeasesMs,
+		}, this.#opts.times);
 		this.#opts.onEvent({
 			kind: 'took-over', epoch: record.epoch, afterVm: earlier?.vmId ?? '', waitMs: Math.round(earlierLeasesMs),
 		});
--- a/node/cell-link/test/simulated-store.ts
+++ b/node/cell-link/test/simulated-store.ts
@@ -4,7 +4,9 @@
 	FleetStore, type Changes, type Committed, type RowTransaction, type Snapshot, type StoredRow,
 } from '@buckthornpoint/fleet/fleet-store.js';
 import type {StoreFailure} from '@buckthornpoint/table-store/table-store.js';
-import {err, ok, ResultAsync, type Result} from 'neverthrow';
+import {
+	err, ok, ResultAsync, type Result,
+} from 'neverthrow';
 
 /** What is wrong with the store at a moment. */
 export type StoreFaults = {
--- a/node/ingress/src/caller-server.ts
+++ b/node/ingress/src/caller-server.ts
@@ -51,6 +51,8 @@
 /** The most bytes of headers that are read, until the operator's limit is known. */
 const maxHeaderBytes = 64 * 1024;
 
+const statusNoContent = 204;
+const statusNotModified = 304;
 const statusBadRequest = 400;
 const statusNotFound = 404;
 const statusTooLarge = 413;
@@ -209,7 +211,7 @@
 
 		if (outcome.kind === 'answer') {
 			report(outcome.status, 'answered');
-			this.#write(open, outcome.status, outcome.headers, outcome.body);
+			this.#write(open, outcome);
 		} else if (outcome.kind === 'not-run') {
 			report(statusUnavailable, outcome.reason);
 			this.#writeOwn(open, statusUnavailable, {reason: outcome.reason, retryAfterMs: outcome.retryAfterMs});
@@ -235,20 +237,26 @@
 	}
 
 	#writeOwn(open: Open, status: number, {reason, retryAfterMs}: {readonly reason: string; readonly retryAfterMs?: number}): void {
-		this.#write(open, status, [
-			'Content-Type', 'application/json', ...createOwnAnswerHeaders(open.headers.requestId, retryAfterMs),
-		], Buffer.from(JSON.stringify({reason})));
+		this.#write(open, {
+			status,
+			headers: ['Content-Type', 'application/json', ...createOwnAnswerHeaders(open.headers.requestId, retryAfterMs)],
+			body: Buffer.from(JSON.stringify({reason})),
+			isFramed: true,
+		});
 	}
 
-	#write({response}: Open, status: number, headers: readonly string[], body: Uint8Array): void {
+	#write({response}: Open, {status, headers, body, isFramed}: Omit<Extract<Outcome, {readonly kind: 'answer'}>, 'kind'>): void {
 		if (response.destroyed || response.headersSent) {
 			return;
 		}
 
+		const hasLength = isFramed && response.req.method !== 'HEAD' && status !== statusNoContent && status !== statusNotModified;
+		// An answer that had no length ends with its connection here too.
+		response.useChunkedEncodingByDefault = false;
 		response.writeHead(status, [
 			...headers,
-			...response.req.method === 'HEAD' || status === 204 || status === 304 ? [] : ['Content-Length', String(body.length)],
-			...this.#isStopping ? ['Connection', 'close'] : [],
+			...hasLength ? ['Content-Length', String(body.length)] : [],
+			...this.#isStopping || !isFramed ? ['Connection', 'close'] : [],
 		]);
 		response.end(body);
 	}
--- a/node/ingress/src/fleet-view.ts
+++ b/node/ingress/src/fleet-view.ts
@@ -66,7 +66,8 @@
 	/** Takes over the directory and the maps of a controller's answer. Returns what could not be read. */
 	applyReply(reply: HeartbeatReply): readonly string[] {
 		if (reply.directory !== undefined) {
-			this.#setDirectory(reply.directory, reply.directoryVersion);
+			const known = reply.isDirectoryComplete ? [] : [...this.#entries.values()].filter(({vmId}) => reply.directory?.every(entry => entry.vmId !== vmId));
+			this.#setDirectory([...known, ...reply.directory], reply.directoryVersion);
 		}
 
 		return (reply.maps ?? []).flatMap(record => decodeRangeMapRecord(record).match(map => {
--- /dev/null
+++ b/node/ingress/test/fleet-view.test.ts
@@ -0,0 +1,41 @@
+import assert from 'node:assert/strict';
+import test from 'node:test';
+import type {DirectoryEntry, HeartbeatReply} from '@buckthornpoint/key-ranges/messages.js';
+import {FleetView} from '../src/fleet-view.js';
+
+function createEntry(vmId: string): DirectoryEntry {
+	return {
+		vmId, incarnation: 'i', address: `${vmId}:1`, failureDomain: 'a', isStopping: false, backend: {
+			key: `${vmId}/1`, service: 'sklad', state: 'ready', slots: 18, isCold: false,
+		},
+	};
+}
+
+function createReply(vmIds: readonly string[], isDirectoryComplete: boolean): HeartbeatReply {
+	return {
+		epoch: 1, leaseMs: 0, assignmentVersion: '', directoryVersion: vmIds.join(''), isDirectoryComplete, isStoreReached: true, directory: vmIds.map(vmId => createEntry(vmId)),
+	};
+}
+
+test('a new controller that has not heard everybody yet makes no node unknown', () => {
+	const view = new FleetView();
+	view.applyReply(createReply(['a', 'b', 'c'], true));
+	view.applyReply(createReply(['b', 'd'], false));
+	assert.deepEqual(view.listNodes('sklad').map(({vmId}) => vmId).toSorted(), ['a', 'b', 'c', 'd']);
+	view.applyReply(createReply(['b', 'd'], true));
+	assert.deepEqual(view.listNodes('sklad').map(({vmId}) => vmId), ['b', 'd']);
+});
+
+test('an older configuration never replaces a newer one', () => {
+	const view = new FleetView();
+	const limits = {
+		headerBytes: 1, bodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1,
+	};
+	assert.equal(view.setRoutes({
+		version: 7, routes: [], services: new Map(), limits,
+	}, 'seven'), true);
+	assert.equal(view.setRoutes({
+		version: 5, routes: [], services: new Map(), limits,
+	}, 'five'), false);
+	assert.equal(view.getRoutes()?.document, 'seven');
+});
--- a/node/mesh-daemon/src/mesh-node.ts
+++ b/node/mesh-daemon/src/mesh-node.ts
@@ -150,6 +150,7 @@
 			clock: this.#opts.clock,
 			callers: this.#callers,
 			gate: this.#gate,
+			peers: this.#peers,
 			graceMs: this.#times.graceMs,
 			onLeaving: () => {
 				this.#isLeaving = true;
@@ -257,7 +258,7 @@
 			this.#opts.log.write({event: 'internal-error', message});
 		}
 
-		if (reply.directory !== undefined) {
+		if (reply.directory !== undefined && reply.isDirectoryComplete) {
 			this.#links.removeOthers(this.#view.listAddresses());
 		}
 
--- a/node/mesh-daemon/src/planned-stop.ts
+++ b/node/mesh-daemon/src/planned-stop.ts
@@ -1,6 +1,7 @@
 import type {BackendGate} from '@buckthornpoint/backend-link/backend-gate.js';
 import type {Clock} from '@buckthornpoint/clock/clock.js';
 import type {CallerServer} from '@buckthornpoint/ingress/caller-server.js';
+import type {PeerServer} from '@buckthornpoint/peers/peer-server.js';
 
 /** What a planned stop works with. */
 export type PlannedStopOpts = {
@@ -9,6 +10,7 @@
 	readonly gate: BackendGate;
 	/** Time until the process is killed, in milliseconds. */
 	readonly graceMs: number;
+	readonly peers: PeerServer;
 	/** Called when the node takes nothing more from other nodes. */
 	readonly onLeaving: () => void;
 };
@@ -22,11 +24,16 @@
 /** Time at the end of a planned stop that is left for requests of other nodes, in milliseconds. */
 const handOffMs = 300;
 
+/** Some round trips between nodes, in milliseconds, at the end of a planned stop. */
+const partingMs = 60;
+
 /** How often a stopping node looks whether it is done, in milliseconds. */
 const pollMs = 20;
 
 /** Answers what is here and ends, within the grace time. Callers are sent elsewhere after two questions got no good answer. */
-export async function runPlannedStop({clock, callers, gate, graceMs, onLeaving}: PlannedStopOpts): Promise<void> {
+export async function runPlannedStop({
+	clock, callers, gate, peers, graceMs, onLeaving,
+}: PlannedStopOpts): Promise<void> {
 	const startMs = clock.readMoment().monotonicMs;
 	const lastMs = startMs + graceMs - stopMarginMs;
 	callers.startStop();
@@ -37,7 +44,14 @@
 
 	callers.stopListening();
 	onLeaving();
+	gate.stop();
+	peers.announceLeaving();
 	while (gate.countRunning() > 0 && clock.readMoment().monotonicMs < lastMs) {
 		await clock.sleep(pollMs);
 	}
+
+	// Requests that were under way when the others were told are refused, and the refusals arrive.
+	await clock.sleep(partingMs);
+	peers.closeConnections();
+	await clock.sleep(partingMs);
 }
--- a/node/peers/src/peer-link.ts
+++ b/node/peers/src/peer-link.ts
@@ -53,6 +53,8 @@
 	#pingedMs: number | undefined;
 	#downUntilMs = Number.NEGATIVE_INFINITY;
 	#isClosed = false;
+	/** The other node said that it takes nothing more on this connection. */
+	#isLeaving = false;
 
 	constructor(opts: PeerLinkOpts) {
 		this.#opts = opts;
@@ -60,7 +62,12 @@
 
 	/** Whether questions fail at once because the other node was not reached a moment ago. */
 	isDown(): boolean {
-		return this.#readNowMs() < this.#downUntilMs;
+		return this.#isLeaving || this.#readNowMs() < this.#downUntilMs;
+	}
+
+	/** Whether questions are open. */
+	isBusy(): boolean {
+		return this.#pending.size > 0;
 	}
 
 	/** Sends a question. Returns its number, by which it may be cancelled; undefined where it failed at once. */
@@ -162,6 +169,8 @@
 			const handler = this.#pending.get(id);
 			this.#pending.delete(id);
 			handler?.onAnswer(meta, body);
+		} else if (type === frameTypes.notice) {
+			this.#isLeaving = true;
 		}
 	}
 
@@ -201,6 +210,7 @@
 		const socket = this.#socket;
 		this.#socket = undefined;
 		this.#isConnected = false;
+		this.#isLeaving = false;
 		this.#unsent = [];
 		this.#timer?.close();
 		this.#timer = undefined;
--- a/node/peers/src/peer-links.ts
+++ b/node/peers/src/peer-links.ts
@@ -59,10 +59,10 @@
 		});
 	}
 
-	/** Closes the links to nodes that are not among the given ones any more. */
+	/** Closes the links to nodes that are not among the given ones any more, unless something is under way there. */
 	removeOthers(addresses: ReadonlySet<string>): void {
 		for (const [address, link] of this.#links) {
-			if (!addresses.has(address)) {
+			if (!addresses.has(address) && !link.isBusy()) {
 				link.close();
 				this.#links.delete(address);
 			}
--- a/node/peers/src/peer-server.ts
+++ b/node/peers/src/peer-server.ts
@@ -44,6 +44,21 @@
 		return typeof address === 'object' && address !== null ? address.port : 0;
 	}
 
+	/** Tells the other nodes that nothing more is taken here; what they sent before is still answered. */
+	announceLeaving(): void {
+		this.#server.close();
+		for (const socket of this.#sockets) {
+			writeIfOpen(socket, encodeFrame(frameTypes.notice, 0, {isLeaving: true}));
+		}
+	}
+
+	/** Ends the connections in order: what was written arrives. A connection that is cut off with unread bytes would take answers with it. */
+	closeConnections(): void {
+		for (const socket of this.#sockets) {
+			socket.end();
+		}
+	}
+
 	close(): void {
 		this.#server.close();
 		for (const socket of this.#sockets) {
