feat: serve metrics, follow the store again at once after an outage, weigh momentary slowness

Change: a regained store starts the watches anew, the controller's answers carry evacuations besides routes, watches wait 5 s. Answers' load figures (how slow the machine is now) weigh in the choice of servers. Counters and histograms are served at the metrics address.

--- a/core/key-ranges/src/messages.ts
+++ b/core/key-ranges/src/messages.ts
@@ -49,6 +49,8 @@
 	readonly epoch: number;
 	readonly isStopping: boolean;
 	readonly routesVersion: number;
+	/** Version of the store up to which the node knows the operator's orders. */
+	readonly ordersVersion: number;
 	readonly directoryVersion: string;
 	readonly mapVersions: Readonly<Record<string, number>>;
 	readonly backend?: BackendReport;
@@ -72,6 +74,12 @@
 	};
 };
 
+/** The failure domains that the operator empties, as of a version of the store. */
+export type EvacuationOrders = {
+	readonly version: number;
+	readonly domains: readonly string[];
+};
+
 /** The controller's answer to a heartbeat. Members that the node has already are left out. */
 export type HeartbeatReply = {
 	readonly epoch: number;
@@ -86,6 +94,8 @@
 	readonly maps?: readonly RangeMapRecord[];
 	/** The operator's document as it lies in the store, where it is newer than the node's. */
 	readonly routesDocument?: string;
+	/** The failure domains that the operator empties, where the controller knows later orders than the node. */
+	readonly evacuation?: EvacuationOrders;
 	/** Whether the controller reached the store lately; members look for themselves where it did not. */
 	readonly isStoreReached: boolean;
 };
--- a/node/backend-link/src/backend-gate.ts
+++ b/node/backend-link/src/backend-gate.ts
@@ -6,23 +6,14 @@
 import type {Exchange} from './backend-connection.js';
 import {BackendPool} from './backend-pool.js';
 import {DemandMeter} from './demand-meter.js';
+import type {GateBackend} from './gate-backend.js';
+import {judgeRequest} from './judge-request.js';
 import {isAnswerTo, isServerFailure, judgeResponse} from './judge-response.js';
 import {
 	createNotRun, type Outcome, type OwnerLoad, type OwnerRequest,
 } from './outcome.js';
 import {SilenceWatch} from './silence-watch.js';
-
-/** The backend server beside, as it announced itself. */
-export type GateBackend = {
-	readonly id: string;
-	readonly service: string;
-	readonly slots: number;
-	readonly isDivided: boolean;
-	/** Requests a second that it bears while it is cold; undefined while it is warm. */
-	readonly coldPerS: number | undefined;
-	/** Why it takes nothing new, and until when requests that are here may still be sent, on the gate's clock. */
-	readonly leaving?: {readonly reason: 'leaving' | 'evacuated'; readonly lastSendMs: number};
-};
+import {Slowness} from './slowness.js';
 
 /** What a gate needs. */
 export type BackendGateOpts = {
@@ -46,11 +37,8 @@
 /** How long after the end of a request its connection is broken off, in milliseconds: the server answers by itself at its deadline. */
 const overtimeMs = 80;
 
-/** When to come back to a key whose owner is about to change, in milliseconds: a grant takes up to one heartbeat. */
-const noOwnerRetryMs = 400;
-
-/** When to come back to a server that leaves or is silent, in milliseconds: others are told within this time. */
-const leavingRetryMs = 200;
+/** When to come back to a server that is silent or refuses connections, in milliseconds: others are told within this time. */
+const retryMs = 200;
 
 /** Weight of the newest answer in the share of failures. */
 const failureWeight = 0.08;
@@ -66,6 +54,7 @@
 	#backend: GateBackend | undefined;
 	#failureShare = 0;
 	readonly #silence = new SilenceWatch();
+	#slowness = new Slowness();
 	#refusals = 0;
 
 	constructor(opts: BackendGateOpts) {
@@ -80,6 +69,7 @@
 			this.#pool = undefined;
 			this.#failureShare = 0;
 			this.#silence.noteAlive();
+			this.#slowness = new Slowness();
 			this.#refusals = 0;
 			this.#queue.refuseWaiting('closed');
 		}
@@ -102,7 +92,8 @@
 	admit(request: OwnerRequest, finish: (outcome: Outcome) => void): GateTicket {
 		const nowMs = this.#readNowMs();
 		this.#meter.note(request.key);
-		const refusal = this.#judge(request, nowMs);
+		const refusal = judgeRequest(request, this.#backend, {nowMs, isArriving: true, isHeld: this.#opts.isHeld})
+			?? (this.#silence.mayTry(nowMs) ? undefined : createNotRun('silent', retryMs));
 		if (refusal !== undefined) {
 			finish(refusal);
 			return {cancel: () => undefined};
@@ -141,8 +132,9 @@
 
 	readLoad(): OwnerLoad {
 		const {running, waiting, slots, serviceMs} = this.#queue.readLoad();
+		const presentMs = serviceMs * this.#slowness.readFactor(this.#readNowMs());
 		return {
-			outstanding: running + waiting, slots, serviceMs: Math.round(serviceMs), failureShare: Math.round(this.#failureShare * 100) / 100,
+			outstanding: running + waiting, slots, serviceMs: Math.round(presentMs), failureShare: Math.round(this.#failureShare * 100) / 100,
 		};
 	}
 
@@ -170,37 +162,16 @@
 		this.#pool?.close();
 	}
 
-	#judge(request: OwnerRequest, nowMs: number): Outcome | undefined {
-		const backend = this.#backend;
-		if (backend === undefined) {
-			return createNotRun('no-backend', leavingRetryMs);
-		}
-
-		if (backend.service !== request.service) {
-			return createNotRun('no-node', leavingRetryMs);
-		}
-
-		if (backend.isDivided && request.key !== undefined && !this.#opts.isHeld(request.key)) {
-			return createNotRun('not-held', noOwnerRetryMs);
-		}
-
-		if (backend.leaving !== undefined && (!backend.isDivided || nowMs >= backend.leaving.lastSendMs)) {
-			return createNotRun(backend.leaving.reason, leavingRetryMs);
-		}
-
-		return this.#silence.mayTry(nowMs) ? undefined : createNotRun('silent', leavingRetryMs);
-	}
-
 	#run(request: OwnerRequest, endMs: number, finish: (outcome: Outcome) => void): () => void {
 		const startMs = this.#readNowMs();
 		const backend = this.#backend;
-		const refusal = backend === undefined ? createNotRun('no-backend', leavingRetryMs) : this.#judgeStart(request, backend, startMs);
+		const refusal = judgeRequest(request, backend, {nowMs: startMs, isArriving: false, isHeld: this.#opts.isHeld});
 		if (refusal !== undefined || backend === undefined) {
 			// The slot is given back once the queue has taken note that it was given away.
 			queueMicrotask(() => {
 				this.#queue.release(undefined, this.#readNowMs());
 			});
-			finish(refusal ?? createNotRun('no-backend', leavingRetryMs));
+			finish(refusal ?? createNotRun('no-backend', retryMs));
 			return () => undefined;
 		}
 
@@ -229,31 +200,22 @@
 		};
 	}
 
-	/** A request may have waited while its key moved away or the server began to leave. */
-	#judgeStart(request: OwnerRequest, backend: GateBackend, nowMs: number): Outcome | undefined {
-		if (backend.service !== request.service) {
-			return createNotRun('no-node', leavingRetryMs);
-		}
-
-		if (backend.isDivided && request.key !== undefined && !this.#opts.isHeld(request.key)) {
-			return createNotRun('not-held', noOwnerRetryMs);
-		}
-
-		return backend.leaving !== undefined && nowMs >= backend.leaving.lastSendMs ? createNotRun(backend.leaving.reason, leavingRetryMs) : undefined;
-	}
-
 	#judgeExchange(exchange: Exchange, isTimedOut: boolean): Outcome {
 		if (exchange.kind === 'not-sent') {
 			this.#noteRefused(exchange.isRefused);
-			return createNotRun(exchange.isRefused ? 'connection-refused' : 'connection-lost', leavingRetryMs);
+			return createNotRun(exchange.isRefused ? 'connection-refused' : 'connection-lost', retryMs);
 		}
 
 		if (exchange.kind === 'lost') {
 			return {kind: 'unknown', reason: isTimedOut ? 'timeout' : 'connection-lost'};
 		}
 
-		const {outcome, coldMs} = judgeResponse(exchange.response);
+		const {outcome, coldMs, slowness} = judgeResponse(exchange.response);
 		this.#refusals = 0;
+		if (slowness !== undefined) {
+			this.#slowness.note(slowness, this.#readNowMs());
+		}
+
 		if (coldMs !== undefined) {
 			this.#opts.onCold(coldMs);
 		}
--- a/node/backend-link/src/judge-response.ts
+++ b/node/backend-link/src/judge-response.ts
@@ -7,6 +7,8 @@
 	readonly outcome: Outcome;
 	/** How long the server stays cold, in milliseconds, where it says so. */
 	readonly coldMs: number | undefined;
+	/** How long work takes on the server's machine at this moment; 1 is usual. Undefined where the server doesn't say. */
+	readonly slowness: number | undefined;
 };
 
 /** When to come back after a refusal of the server that names no time, in milliseconds. */
@@ -24,17 +26,18 @@
 }: ParsedResponse): JudgedResponse {
 	const fields = readBackendHeaders(status, headers);
 	const {coldMs} = fields;
+	const slowness = fields.load?.slowness;
 	if (fields.isNotRun) {
-		return {coldMs, outcome: createNotRun(status === statusMisdirected ? 'not-held' : 'refused-by-backend', fields.retryAfterMs ?? refusedRetryMs, true)};
+		return {coldMs, slowness, outcome: createNotRun(status === statusMisdirected ? 'not-held' : 'refused-by-backend', fields.retryAfterMs ?? refusedRetryMs, true)};
 	}
 
 	const isSuccess = status >= firstSuccess && status < afterSuccess;
 	if (fields.isEncoded || (isSuccess && !fields.isSealed)) {
-		return {coldMs, outcome: {kind: 'unknown', reason: 'garbled'}};
+		return {coldMs, slowness, outcome: {kind: 'unknown', reason: 'garbled'}};
 	}
 
 	return {
-		coldMs, outcome: {
+		coldMs, slowness, outcome: {
 			kind: 'answer', status, headers: selectAnswerHeaders(headers), body, isFramed,
 		},
 	};
--- a/node/backend-link/src/outcome.ts
+++ b/node/backend-link/src/outcome.ts
@@ -38,7 +38,7 @@
 	/** Requests that run or wait. */
 	readonly outstanding: number;
 	readonly slots: number;
-	/** Mean time of a run, in milliseconds. */
+	/** Time that a run takes at this moment, in milliseconds. */
 	readonly serviceMs: number;
 	/** Share of the latest requests that the server failed or refused. */
 	readonly failureShare: number;
--- a/node/cell-link/src/control-task.ts
+++ b/node/cell-link/src/control-task.ts
@@ -1,7 +1,7 @@
 import type {Clock, Timer} from '@buckthornpoint/clock/clock.js';
 import type {RandomSource} from '@buckthornpoint/clock/random.js';
 import type {FleetStore} from '@buckthornpoint/fleet/fleet-store.js';
-import type {HeartbeatReply, MemberHeartbeat} from '@buckthornpoint/key-ranges/messages.js';
+import type {EvacuationOrders, HeartbeatReply, MemberHeartbeat} from '@buckthornpoint/key-ranges/messages.js';
 import type {ServiceRules} from '@buckthornpoint/key-ranges/judge-backend.js';
 import {RangeController, type RangeControllerOpts} from '@buckthornpoint/key-ranges/range-controller.js';
 import {
@@ -28,6 +28,8 @@
 	readonly getRules: () => ServiceRules;
 	/** The operator's document, for members that lack it. */
 	readonly getRoutes: () => {readonly version: number; readonly document: string} | undefined;
+	/** The operator's orders, for members that know only earlier ones. */
+	readonly getEvacuation: () => EvacuationOrders;
 	/** Asks nodes for a heartbeat at once. */
 	readonly askMembers: (addresses: readonly string[]) => void;
 	readonly onEvent: (event: ControlEvent) => void;
@@ -76,10 +78,12 @@
 
 		const reply = controller.handleHeartbeat(heartbeat, this.#readNowMs(), this.#lease.measureLeaseRoom());
 		const routes = this.#opts.getRoutes();
+		const evacuation = this.#opts.getEvacuation();
 		return {
 			...reply,
 			isStoreReached: this.#lease.measureAge() < 2 * renewalMs,
 			...(routes !== undefined && routes.version > heartbeat.routesVersion && {routesDocument: routes.document}),
+			...(evacuation.version > heartbeat.ordersVersion && {evacuation}),
 		};
 	}
 
--- a/node/cell-link/src/routes-task.ts
+++ b/node/cell-link/src/routes-task.ts
@@ -9,7 +9,9 @@
 /** What the operator wrote. */
 export type OperatorChange
 	= | {readonly kind: 'routes'; readonly table: RouteTable; readonly document: string}
-		| {readonly kind: 'evacuation'; readonly domain: string; readonly isEvacuated: boolean}
+		| {readonly kind: 'evacuation'; readonly domain: string; readonly isEvacuated: boolean; readonly version: number}
+		/** All that was written up to a version has been reported. */
+		| {readonly kind: 'caught-up'; readonly version: number}
 		| {readonly kind: 'invalid'; readonly problem: string}
 		| {readonly kind: 'store-failed'; readonly problem: string}
 		| {readonly kind: 'store-regained'; readonly awayMs: number};
@@ -23,7 +25,7 @@
 };
 
 /** How long a feed waits for a change, in milliseconds: a connection that went silent is found out within this and a little more. */
-const waitMs = 8000;
+const waitMs = 5000;
 
 /** The pause after a failure, in milliseconds, drawn up to twice as long. */
 const pauseMs = 150;
@@ -34,6 +36,7 @@
 	readonly #versions = new Map<string, number>();
 	readonly #evacuated = new Set<string>();
 	readonly #stopped = new AbortController();
+	#watch = new AbortController();
 	#failedMs: number | undefined;
 
 	constructor(opts: RoutesTaskOpts) {
@@ -48,8 +51,14 @@
 		}
 	}
 
+	/** Asks anew at once: the store was away, and the connection of the present watch may be dead. */
+	refresh(): void {
+		this.#watch.abort();
+	}
+
 	close(): void {
 		this.#stopped.abort();
+		this.#watch.abort();
 	}
 
 	async #readAll(): Promise<number | undefined> {
@@ -61,11 +70,17 @@
 
 		this.#noteReached();
 		this.#applySnapshot(read.value);
+		this.#opts.onChange({kind: 'caught-up', version: read.value.version});
 		return read.value.version;
 	}
 
 	async #watchTable(after: number): Promise<number | undefined> {
-		const changes = await this.#opts.store.watchTable(operatorTable, after, waitMs);
+		const changes = await this.#opts.store.watchTable(operatorTable, after, {waitMs, signal: this.#watch.signal});
+		if (changes.isErr() && this.#watch.signal.aborted) {
+			this.#watch = new AbortController();
+			return after;
+		}
+
 		if (changes.isErr()) {
 			await this.#waitAfterFailure(changes.error.error.message);
 			return after;
@@ -80,7 +95,9 @@
 			this.#applyRow(row);
 		}
 
-		return Math.max(after, changes.value.snapshot.version);
+		const {version} = changes.value.snapshot;
+		this.#opts.onChange({kind: 'caught-up', version});
+		return Math.max(after, version);
 	}
 
 	#applySnapshot({rows, version}: Snapshot): void {
@@ -108,7 +125,7 @@
 		this.#versions.set(key, version);
 		const domain = parseEvacuationKey(key);
 		if (domain !== undefined) {
-			this.#applyEvacuation(domain, value !== undefined);
+			this.#applyEvacuation(domain, value !== undefined, version);
 		} else if (key === configurationKey && value !== undefined) {
 			this.#opts.onChange(decodeRouteTable(value).match(
 				(table): OperatorChange => ({kind: 'routes', table, document: value}),
@@ -117,14 +134,16 @@
 		}
 	}
 
-	#applyEvacuation(domain: string, isEvacuated: boolean): void {
+	#applyEvacuation(domain: string, isEvacuated: boolean, version: number): void {
 		if (isEvacuated) {
 			this.#evacuated.add(domain);
 		} else {
 			this.#evacuated.delete(domain);
 		}
 
-		this.#opts.onChange({kind: 'evacuation', domain, isEvacuated});
+		this.#opts.onChange({
+			kind: 'evacuation', domain, isEvacuated, version,
+		});
 	}
 
 	async #waitAfterFailure(problem: string): Promise<void> {
--- a/node/cell-link/test/simulated-fleet.ts
+++ b/node/cell-link/test/simulated-fleet.ts
@@ -173,6 +173,7 @@
 			times: simulatedTimes,
 			getRules: () => ({dividedServices: new Set([service]), evacuatedDomains: new Set<string>()}),
 			getRoutes: () => undefined,
+			getEvacuation: () => ({version: 0, domains: []}),
 			askMembers: addresses => {
 				this.#askMembers(vm, addresses);
 			},
@@ -207,7 +208,7 @@
 		const isHeard = backend !== undefined && vm.backendHeardMs >= vm.nodeStartMs && vm.backendHeardMs >= backend.bornMs;
 		return {
 			vmId: vm.vmId, incarnation, address: vm.vmId, failureDomain: 'a', service, epoch: member.epoch, isStopping: false,
-			routesVersion: 0, directoryVersion: '', mapVersions: {}, ended: [],
+			routesVersion: 0, ordersVersion: 0, directoryVersion: '', mapVersions: {}, ended: [],
 			...(isHeard && {
 				backend: {
 					key: formatBackendKey(backend.id, backend.bornMs), id: backend.id, service, state: vm.state, slots: 18, isCold: false,
--- a/node/ingress/src/fleet-view.ts
+++ b/node/ingress/src/fleet-view.ts
@@ -1,6 +1,6 @@
 import {findByKey, type BackendKey} from '@buckthornpoint/key-ranges/key-ranges.js';
 import type {ServiceRules} from '@buckthornpoint/key-ranges/judge-backend.js';
-import type {DirectoryEntry, HeartbeatReply} from '@buckthornpoint/key-ranges/messages.js';
+import type {DirectoryEntry, EvacuationOrders, HeartbeatReply} from '@buckthornpoint/key-ranges/messages.js';
 import type {RangeMap} from '@buckthornpoint/key-ranges/range-map.js';
 import {decodeRangeMapRecord} from '@buckthornpoint/key-ranges/range-map-record.js';
 import {RouteIndex, type RouteTable} from '@buckthornpoint/routes/routes.js';
@@ -8,7 +8,8 @@
 /** What a node knows of the others, of the owners of keys and of the operator's wishes. One task writes it, others read. */
 export class FleetView {
 	readonly #maps = new Map<string, RangeMap>();
-	readonly #evacuated = new Set<string>();
+	#evacuated = new Set<string>();
+	#ordersVersion = 0;
 	#entries = new Map<string, DirectoryEntry>();
 	#byBackend = new Map<BackendKey, DirectoryEntry>();
 	#byService = new Map<string, readonly DirectoryEntry[]>();
@@ -54,13 +55,41 @@
 		return true;
 	}
 
-	/** Takes note that the operator empties a failure domain, or takes it back. */
-	setEvacuated(domain: string, isEvacuated: boolean): void {
+	/** Takes note that the operator empties a failure domain, or takes it back. An older order never undoes a newer one. */
+	setEvacuated(domain: string, isEvacuated: boolean, version: number): boolean {
+		if (version <= this.#ordersVersion) {
+			return false;
+		}
+
+		const isChange = this.#evacuated.has(domain) !== isEvacuated;
 		if (isEvacuated) {
 			this.#evacuated.add(domain);
 		} else {
 			this.#evacuated.delete(domain);
 		}
+
+		return isChange;
+	}
+
+	/** Takes over all orders as of a version. Returns whether anything changed. */
+	applyEvacuation({version, domains}: EvacuationOrders): boolean {
+		if (version <= this.#ordersVersion) {
+			return false;
+		}
+
+		this.#ordersVersion = version;
+		const isChange = domains.length !== this.#evacuated.size || domains.some(domain => !this.#evacuated.has(domain));
+		this.#evacuated = new Set(domains);
+		return isChange;
+	}
+
+	/** Takes note that all orders up to a version are known. */
+	noteOrdersKnown(version: number): void {
+		this.#ordersVersion = Math.max(this.#ordersVersion, version);
+	}
+
+	getEvacuation(): EvacuationOrders {
+		return {version: this.#ordersVersion, domains: [...this.#evacuated]};
 	}
 
 	/** Takes over the directory and the maps of a controller's answer. Returns what could not be read. */
--- a/node/log/src/events.ts
+++ b/node/log/src/events.ts
@@ -27,7 +27,7 @@
 		| {readonly event: 'store-regained'; readonly by: string; readonly awayMs: number}
 		| {readonly event: 'routes-in-force'; readonly version: number; readonly routes: number; readonly from: 'store' | 'controller'}
 		| {readonly event: 'operator-row-invalid'; readonly message: string}
-		| {readonly event: 'evacuation'; readonly failureDomain: string; readonly isEvacuated: boolean}
+		| {readonly event: 'evacuation'; readonly failureDomains: readonly string[]; readonly version: number; readonly from: 'store' | 'controller'}
 		| {readonly event: 'backend-state'; readonly key: string; readonly service: string; readonly state: string; readonly coldMs: number; readonly reason: string}
 		| {readonly event: 'announcement-ignored'; readonly id: string; readonly reason: string}
 		| {readonly event: 'ranges-assigned'; readonly epoch: number; readonly version: string; readonly ranges: number}
--- a/node/mesh-daemon/src/apply-operator-change.ts
+++ b/node/mesh-daemon/src/apply-operator-change.ts
@@ -1,5 +1,6 @@
 import type {OperatorChange} from '@buckthornpoint/cell-link/routes-task.js';
 import type {FleetView} from '@buckthornpoint/ingress/fleet-view.js';
+import type {EvacuationOrders} from '@buckthornpoint/key-ranges/messages.js';
 import type {Log} from '@buckthornpoint/log/log.js';
 import type {RouteTable} from '@buckthornpoint/routes/routes.js';
 
@@ -21,9 +22,18 @@
 		}
 
 		case 'evacuation': {
-			view.setEvacuated(change.domain, change.isEvacuated);
-			log.write({event: 'evacuation', failureDomain: change.domain, isEvacuated: change.isEvacuated});
-			opts.onApplied();
+			if (view.setEvacuated(change.domain, change.isEvacuated, change.version)) {
+				log.write({
+					event: 'evacuation', failureDomains: [...view.getEvacuation().domains], version: change.version, from: 'store',
+				});
+				opts.onApplied();
+			}
+
+			break;
+		}
+
+		case 'caught-up': {
+			view.noteOrdersKnown(change.version);
 			break;
 		}
 
@@ -53,3 +63,13 @@
 		opts.onApplied();
 	}
 }
+
+/** Takes over the controller's orders, unless later ones are known. */
+export function applyEvacuation(orders: EvacuationOrders, opts: OperatorChangeOpts): void {
+	if (opts.view.applyEvacuation(orders)) {
+		opts.log.write({
+			event: 'evacuation', failureDomains: orders.domains, version: orders.version, from: 'controller',
+		});
+		opts.onApplied();
+	}
+}
--- /dev/null
+++ b/node/mesh-daemon/src/create-heartbeat.ts
@@ -0,0 +1,35 @@
+import type {FleetView} from '@buckthornpoint/ingress/fleet-view.js';
+import type {MemberHeartbeat} from '@buckthornpoint/key-ranges/messages.js';
+import type {BackendWatch} from './backend-watch.js';
+import type {MeshSettings} from './settings.js';
+
+/** What a heartbeat is made of. */
+export type HeartbeatParts = {
+	readonly settings: MeshSettings;
+	readonly view: FleetView;
+	readonly watch: BackendWatch;
+	readonly incarnation: string;
+	readonly isStopping: boolean;
+};
+
+/** Creates what the node tells the controller of itself and of the backend server beside. */
+export function createHeartbeat({
+	settings, view, watch, incarnation, isStopping,
+}: HeartbeatParts): MemberHeartbeat {
+	const backend = watch.createReport();
+	return {
+		vmId: settings.vmId,
+		incarnation,
+		address: settings.listen.peers,
+		failureDomain: settings.failureDomain,
+		service: watch.getCallerService(),
+		epoch: watch.member.epoch,
+		isStopping,
+		routesVersion: view.table?.version ?? 0,
+		ordersVersion: view.getEvacuation().version,
+		directoryVersion: view.directoryVersion,
+		mapVersions: view.listMapVersions(),
+		...(backend !== undefined && {backend}),
+		ended: watch.listEnded(),
+	};
+}
--- a/node/mesh-daemon/src/mesh-node.ts
+++ b/node/mesh-daemon/src/mesh-node.ts
@@ -13,17 +13,21 @@
 import {FleetView} from '@buckthornpoint/ingress/fleet-view.js';
 import {NodeStatisticsTable} from '@buckthornpoint/ingress/node-statistics.js';
 import {RequestRouter} from '@buckthornpoint/ingress/request-router.js';
-import type {HeartbeatReply, MemberHeartbeat} from '@buckthornpoint/key-ranges/messages.js';
+import type {HeartbeatReply} from '@buckthornpoint/key-ranges/messages.js';
 import type {Log} from '@buckthornpoint/log/log.js';
 import {splitAddress} from '@buckthornpoint/peers/peer-link.js';
 import {PeerLinks} from '@buckthornpoint/peers/peer-links.js';
 import {PeerServer} from '@buckthornpoint/peers/peer-server.js';
 import {handleAnnouncement} from './handle-announcement.js';
-import {applyOperatorChange, applyRoutes, type OperatorChangeOpts} from './apply-operator-change.js';
+import {
+	applyEvacuation, applyOperatorChange, applyRoutes, type OperatorChangeOpts,
+} from './apply-operator-change.js';
 import {BackendWatch} from './backend-watch.js';
 import {createGate} from './create-gate.js';
+import {createHeartbeat} from './create-heartbeat.js';
 import {handlePeerRequest} from './handle-peer-request.js';
 import {logControlEvent, logRequest} from './log-decisions.js';
+import {NodeMetrics} from './node-metrics.js';
 import {runPlannedStop} from './planned-stop.js';
 import {PlainServer, type PlainAnswer, type PlainCall} from './plain-server.js';
 import type {MeshSettings} from './settings.js';
@@ -64,8 +68,11 @@
 	readonly #member: MemberTask;
 	readonly #routes: RoutesTask;
 	readonly #operatorChanges: OperatorChangeOpts;
+	readonly #metrics: NodeMetrics;
+	readonly #metricsServer: PlainServer;
 	#timer: Timer | undefined;
 	#isStopping = false;
+	#wasStoreReached = true;
 	#isLeaving = false;
 
 	constructor(settings: MeshSettings, opts: MeshNodeOpts) {
@@ -102,7 +109,8 @@
 			}),
 			clock: opts.clock,
 			getCallerService: () => this.#watch.getCallerService(),
-			onFinished(finished) {
+			onFinished: finished => {
+				this.#metrics.noteFinished(finished);
 				logRequest(opts.log, finished);
 			},
 		});
@@ -110,6 +118,13 @@
 		this.#announcements = new PlainServer(call => handleAnnouncement(call, this.#watch, opts.log));
 		this.#control = this.#createControl();
 		this.#member = this.#createMember();
+		this.#metrics = new NodeMetrics({
+			gate: this.#gate,
+			isController: () => this.#control.isLeading,
+			getRoutesVersion: () => this.#view.table?.version ?? 0,
+			countAssignedRanges: () => this.#watch.member.listAssigned().length,
+		});
+		this.#metricsServer = new PlainServer(async () => ({status: statusOk, body: await this.#metrics.render(), contentType: 'text/plain; version=0.0.4'}));
 		this.#operatorChanges = {
 			view: this.#view,
 			log: opts.log,
@@ -135,6 +150,7 @@
 			this.#peers.listen(...splitAddress(listen.peers)),
 			this.#readiness.listen(listen.readiness),
 			this.#announcements.listen(listen.announcements),
+			...this.#settings.metricsPort === 0 ? [] : [this.#metricsServer.listen(`${splitAddress(listen.readiness)[0]}:${this.#settings.metricsPort}`)],
 		]);
 		void this.#routes.run();
 		this.#member.start();
@@ -159,16 +175,12 @@
 	}
 
 	close(): void {
+		const parts = [this.#routes, this.#member, this.#control, this.#gate, this.#links, this.#peers, this.#callers, this.#readiness, this.#announcements, this.#metricsServer];
 		this.#timer?.close();
-		this.#routes.close();
-		this.#member.close();
-		this.#control.close();
-		this.#gate.close();
-		this.#links.close();
-		this.#peers.close();
-		this.#callers.close();
-		this.#readiness.close();
-		this.#announcements.close();
+		for (const part of parts) {
+			part.close();
+		}
+
 		void this.#store.close();
 	}
 
@@ -199,14 +211,17 @@
 			times: this.#times.controller,
 			getRules: () => this.#view.getRules(),
 			getRoutes: () => this.#view.getRoutes(),
+			getEvacuation: () => this.#view.getEvacuation(),
 			askMembers: addresses => {
 				for (const address of addresses) {
-					// A connection of its own is not needed to ask oneself, but is the simplest way.
 					this.#links.get(address).announce(frameTypes.notice, 0, {});
 				}
 			},
 			onEvent: event => {
 				logControlEvent(this.#opts.log, event);
+				if (event.kind === 'store-regained') {
+					this.#routes.refresh();
+				}
 			},
 		});
 	}
@@ -219,7 +234,9 @@
 			clock: this.#opts.clock,
 			lapseClock: this.#lapseClock,
 			random: this.#opts.random,
-			createHeartbeat: () => this.#createHeartbeat(),
+			createHeartbeat: () => createHeartbeat({
+				settings: this.#settings, view: this.#view, watch: this.#watch, incarnation: this.#opts.incarnation, isStopping: this.#isStopping,
+			}),
 			applyReply: (reply, sentMs, backend) => {
 				this.#applyReply(reply, sentMs, backend);
 			},
@@ -229,24 +246,6 @@
 		});
 	}
 
-	#createHeartbeat(): MemberHeartbeat {
-		const backend = this.#watch.createReport();
-		return {
-			vmId: this.#settings.vmId,
-			incarnation: this.#opts.incarnation,
-			address: this.#settings.listen.peers,
-			failureDomain: this.#settings.failureDomain,
-			service: this.#watch.getCallerService(),
-			epoch: this.#watch.member.epoch,
-			isStopping: this.#isStopping,
-			routesVersion: this.#view.table?.version ?? 0,
-			directoryVersion: this.#view.directoryVersion,
-			mapVersions: this.#view.listMapVersions(),
-			...(backend !== undefined && {backend}),
-			ended: this.#watch.listEnded(),
-		};
-	}
-
 	#applyReply(reply: HeartbeatReply, sentMs: number, backend: string | undefined): void {
 		if (this.#watch.member.applyReply(reply, sentMs, backend)) {
 			this.#opts.log.write({
@@ -262,6 +261,15 @@
 			this.#links.removeOthers(this.#view.listAddresses());
 		}
 
+		if (reply.isStoreReached && !this.#wasStoreReached) {
+			this.#routes.refresh();
+		}
+
+		this.#wasStoreReached = reply.isStoreReached;
+		if (reply.evacuation !== undefined) {
+			applyEvacuation(reply.evacuation, this.#operatorChanges);
+		}
+
 		const document = reply.routesDocument;
 		if (document !== undefined) {
 			decodeRouteTable(document).match(table => {
@@ -277,8 +285,7 @@
 			return {status: statusNotFound, body: ''};
 		}
 
-		const isReady = !this.#isStopping && this.#view.table !== undefined;
-		return {status: isReady ? statusOk : statusUnavailable, body: ''};
+		return {status: !this.#isStopping && this.#view.table !== undefined ? statusOk : statusUnavailable, body: ''};
 	}
 
 	#advance(): void {
--- /dev/null
+++ b/node/mesh-daemon/src/node-metrics.ts
@@ -0,0 +1,72 @@
+import type {BackendGate} from '@buckthornpoint/backend-link/backend-gate.js';
+import type {FinishedRequest} from '@buckthornpoint/ingress/caller-server.js';
+import {
+	Counter, Gauge, Histogram, Registry,
+} from 'prom-client';
+
+/** What is read when somebody asks for the metrics. */
+export type MeasuredParts = {
+	readonly gate: BackendGate;
+	readonly isController: () => boolean;
+	readonly getRoutesVersion: () => number;
+	readonly countAssignedRanges: () => number;
+};
+
+/** Upper bounds of the latency histogram in seconds: around the targets of the deployments, 0.06 to 0.6 s, and their deadlines. */
+const latencyBuckets = [0.005, 0.01, 0.025, 0.05, 0.1, 0.15, 0.2, 0.3, 0.5, 0.8, 1.2, 2, 4];
+
+const milliseconds = 1000;
+
+/** The counters, gauges and histograms of a node. docs/METRICS.md lists them. */
+export class NodeMetrics {
+	readonly #registry = new Registry();
+	readonly #requests = new Counter({
+		name: 'buckthornpoint_requests_total',
+		help: 'Requests that entered at this node, by how they ended',
+		labelNames: ['service', 'outcome', 'reason'],
+		registers: [this.#registry],
+	});
+
+	readonly #latency = new Histogram({
+		name: 'buckthornpoint_request_seconds',
+		help: 'Time from the arrival of a request to its final answer',
+		labelNames: ['service', 'outcome'],
+		buckets: latencyBuckets,
+		registers: [this.#registry],
+	});
+
+	readonly #tries = new Counter({
+		name: 'buckthornpoint_tries_total', help: 'Nodes that requests were offered to', labelNames: ['service'], registers: [this.#registry],
+	});
+
+	constructor(parts: MeasuredParts) {
+		this.#addGauge('buckthornpoint_outstanding', 'Requests that run or wait at the backend server beside', () => parts.gate.readLoad().outstanding);
+		this.#addGauge('buckthornpoint_service_seconds', 'Time that a run at the backend server takes', () => parts.gate.readLoad().serviceMs / milliseconds);
+		this.#addGauge('buckthornpoint_failure_share', 'Share of the latest requests that the backend server failed or refused', () => parts.gate.readLoad().failureShare);
+		this.#addGauge('buckthornpoint_demand', 'Work offered to the backend server as a share of its slots', () => parts.gate.readDemand());
+		this.#addGauge('buckthornpoint_controller', '1 while this node is the controller', () => parts.isController() ? 1 : 0);
+		this.#addGauge('buckthornpoint_routes_version', 'Version of the routes in force', () => parts.getRoutesVersion());
+		this.#addGauge('buckthornpoint_assigned_ranges', 'Ranges that the backend server is to hold', () => parts.countAssignedRanges());
+	}
+
+	/** Takes note of a request that got its final answer. */
+	noteFinished({service, outcome, reason, tookMs, tries}: FinishedRequest): void {
+		const labels = {service: service ?? '', outcome};
+		this.#requests.inc({...labels, reason: outcome === 'bad-request' ? '' : reason});
+		this.#latency.observe(labels, tookMs / milliseconds);
+		this.#tries.inc({service: service ?? ''}, tries.length);
+	}
+
+	/** Renders all metrics in the usual text format. */
+	async render(): Promise<string> {
+		return this.#registry.metrics();
+	}
+
+	#addGauge(name: string, help: string, read: () => number): void {
+		const gauge = new Gauge({
+			name, help, registers: [this.#registry], collect() {
+				gauge.set(read());
+			},
+		});
+	}
+}
--- a/node/mesh-daemon/src/plain-server.ts
+++ b/node/mesh-daemon/src/plain-server.ts
@@ -1,5 +1,5 @@
-import type {Buffer} from 'node:buffer';
-import {createServer, type Server} from 'node:http';
+import {Buffer} from 'node:buffer';
+import {createServer, type Server, type ServerResponse} from 'node:http';
 import {splitAddress} from '@buckthornpoint/peers/peer-link.js';
 
 /** A small call and its whole body. */
@@ -21,11 +21,11 @@
 
 const statusTooLarge = 413;
 
-/** Serves small calls, each answered at once. */
+/** Serves small calls. */
 export class PlainServer {
 	readonly #server: Server;
 
-	constructor(handle: (call: PlainCall) => PlainAnswer) {
+	constructor(handle: (call: PlainCall) => PlainAnswer | Promise<PlainAnswer>) {
 		this.#server = createServer({noDelay: true}, (incoming, response) => {
 			const chunks: Buffer[] = [];
 			let size = 0;
@@ -38,9 +38,13 @@
 			incoming.on('end', () => {
 				const body = chunks.map(chunk => chunk.toString('utf8')).join('');
 				const answer = size > maxBodyBytes ? {status: statusTooLarge, body: ''} : handle({method: incoming.method ?? 'GET', path: incoming.url ?? '/', body});
-				response.sendDate = false;
-				response.writeHead(answer.status, ['Content-Type', answer.contentType ?? 'application/json', 'Content-Length', String(answer.body.length)]);
-				response.end(answer.body);
+				if (answer instanceof Promise) {
+					void answer.then(value => {
+						writeAnswer(response, value);
+					});
+				} else {
+					writeAnswer(response, answer);
+				}
 			});
 		});
 	}
@@ -59,3 +63,9 @@
 		this.#server.closeAllConnections();
 	}
 }
+
+function writeAnswer(response: ServerResponse, answer: PlainAnswer): void {
+	response.sendDate = false;
+	response.writeHead(answer.status, ['Content-Type', answer.contentType ?? 'application/json', 'Content-Length', String(Buffer.byteLength(answer.body))]);
+	response.end(answer.body);
+}
--- a/node/mesh-daemon/src/settings.ts
+++ b/node/mesh-daemon/src/settings.ts
@@ -49,7 +49,7 @@
 	readonly heartbeatSeconds: number;
 	readonly bounds: DeploymentBounds;
 	readonly logLevel: LogLevel;
-	/** Port of the metrics interface, on all interfaces; 0 for none. */
+	/** Port of the metrics interface, at the host of the readiness interface; 0 for none. */
 	readonly metricsPort: number;
 };
 
