--- /dev/null
+++ b/node/backend-link/test/backend-gate.test.ts
@@ -0,0 +1,147 @@
+import assert from 'node:assert/strict';
+import {Buffer} from 'node:buffer';
+import {createServer, type Server, type Socket} from 'node:net';
+import test from 'node:test';
+import {SystemClock} from '@buckthornpoint/clock/system-clock.js';
+import {BackendGate} from '../src/backend-gate.js';
+import type {Outcome, OwnerRequest} from '../src/outcome.js';
+
+type Answer = (socket: Socket, requestId: string, count: number) => unknown;
+
+type Fixture = {
+	readonly gate: BackendGate;
+	readonly server: Server;
+	readonly heads: string[];
+	readonly refused: number[];
+};
+
+function createRequest(requestId: string, opts: Partial<OwnerRequest> = {}): OwnerRequest {
+	return {
+		requestId, method: 'POST', path: '/x', headers: ['Buckthornpoint-Request-Id', requestId], body: Buffer.from('body'), key: 5, service: 'sklad',
+		callerService: 'other', priority: 1, isIdempotent: false, remainingMs: 5000, targetMs: 5000, ...opts,
+	};
+}
+
+async function openFixture(answer: Answer): Promise<Fixture> {
+	const heads: string[] = [];
+	const refused: number[] = [];
+	const server = createServer(socket => {
+		socket.on('error', () => undefined);
+		socket.on('data', chunk => {
+			const head = chunk.toString('latin1');
+			heads.push(head);
+			answer(socket, /Buckthornpoint-Request-Id: (\S+)/v.exec(head)?.[1] ?? '', heads.length);
+		});
+	});
+	await new Promise<void>(resolve => {
+		server.listen(0, '127.0.0.1', resolve);
+	});
+	const address = server.address();
+	const gate = new BackendGate({
+		host: '127.0.0.1',
+		port: typeof address === 'object' ? address?.port ?? 0 : 0,
+		clock: new SystemClock(),
+		isHeld: key => key < 100,
+		onRefused() {
+			refused.push(1);
+		},
+		onCold: () => undefined,
+	});
+	gate.setBackend({
+		id: 'i-1', service: 'sklad', slots: 2, isDivided: true, coldPerS: undefined,
+	});
+	return {
+		gate, server, heads, refused,
+	};
+}
+
+async function run({gate}: Fixture, request: OwnerRequest): Promise<Outcome> {
+	return new Promise(resolve => {
+		gate.admit(request, resolve);
+	});
+}
+
+function close({gate, server}: Fixture): void {
+	gate.close();
+	server.close();
+}
+
+function formatAnswer(requestId: string, body: string, extra = ''): string {
+	return `HTTP/1.1 200 OK\r\nBuckthornpoint-Request-Id: ${requestId}\r\nBuckthornpoint-Server-Seal: s\r\n${extra}Content-Length: ${body.length}\r\n\r\n${body}`;
+}
+
+test('the server gets what the caller sent, the target, the caller\'s service and what is left of the time', async () => {
+	const fixture = await openFixture((socket, id) => socket.write(formatAnswer(id, 'ok')));
+	const outcome = await run(fixture, createRequest('a'));
+	assert.equal(outcome.kind === 'answer' ? Buffer.from(outcome.body).toString() : outcome.reason, 'ok');
+	assert.match(fixture.heads[0] ?? '', /^POST \/x HTTP\/1\.1\r\n/v);
+	assert.match(fixture.heads[0] ?? '', /Target-Instance: i-1\r\n/v);
+	assert.match(fixture.heads[0] ?? '', /Caller-Service: other\r\n/v);
+	assert.ok(Number(/Deadline-Ms: (\d+)/v.exec(fixture.heads[0] ?? '')?.[1]) <= 5000);
+	assert.ok((fixture.heads[0] ?? '').endsWith('\r\n\r\nbody'));
+	close(fixture);
+});
+
+test('a late second answer to the request before is passed over', async () => {
+	const fixture = await openFixture((socket, id, count) => {
+		socket.write(count === 1 ? formatAnswer(id, 'first') : `${formatAnswer('a', 'extra')}${formatAnswer(id, 'second')}`);
+	});
+	await run(fixture, createRequest('a'));
+	const outcome = await run(fixture, createRequest('b'));
+	assert.equal(outcome.kind === 'answer' ? Buffer.from(outcome.body).toString() : outcome.reason, 'second');
+	close(fixture);
+});
+
+test('only the server\'s word proves that a request was not run', async () => {
+	const answers: readonly Answer[] = [
+		(socket, id) => socket.write(`HTTP/1.1 503 x\r\nBuckthornpoint-Request-Id: ${id}\r\nBuckthornpoint-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n`),
+		socket => socket.write('HTTP/1.1 421 x\r\nContent-Length: 0\r\n\r\n'),
+		socket => socket.destroy(),
+		(socket, id) => socket.write(formatAnswer(id, 'x').replace('Buckthornpoint-Server-Seal: s\r\n', '')),
+		(socket, id) => socket.write(formatAnswer(id, 'x', 'Content-Encoding: gzip\r\n')),
+		socket => socket.write('nonsense'),
+		(socket, id) => socket.end(formatAnswer(id, 'long body').slice(0, -4)),
+	];
+	const kinds: string[] = [];
+	for (const answer of answers) {
+		const fixture = await openFixture(answer);
+		const outcome = await run(fixture, createRequest('a'));
+		kinds.push(outcome.kind === 'not-run' ? `not-run ${outcome.wasOffered}` : outcome.kind);
+		close(fixture);
+	}
+
+	assert.deepEqual(kinds, ['not-run true', 'not-run true', 'unknown', 'unknown', 'unknown', 'unknown', 'unknown']);
+});
+
+test('an answer without a length is marked, since nobody can tell whether it was cut off', async () => {
+	const fixture = await openFixture((socket, id) => socket.end(`HTTP/1.1 200 OK\r\nBuckthornpoint-Request-Id: ${id}\r\nBuckthornpoint-Server-Seal: s\r\n\r\nhalf`));
+	const outcome = await run(fixture, createRequest('a'));
+	assert.equal(outcome.kind === 'answer' && outcome.isFramed, false);
+	close(fixture);
+});
+
+test('a key without a grant, another service and a server that leaves are refused without a connection', async () => {
+	const fixture = await openFixture(() => undefined);
+	assert.equal((await run(fixture, createRequest('a', {key: 500})) as {readonly reason?: string}).reason, 'not-held'); // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion
+	assert.equal((await run(fixture, createRequest('a', {service: 'x'})) as {readonly reason?: string}).reason, 'no-node'); // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion
+	fixture.gate.setBackend({
+		id: 'i-1', service: 'sklad', slots: 2, isDivided: true, coldPerS: undefined, leaving: {reason: 'leaving', lastSendMs: 0},
+	});
+	assert.equal((await run(fixture, createRequest('a')) as {readonly reason?: string}).reason, 'leaving'); // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion
+	assert.equal(fixture.heads.length, 0);
+	close(fixture);
+});
+
+test('refused connections prove that the server is gone, and that nothing ran', async () => {
+	const fixture = await openFixture(() => undefined);
+	await new Promise<void>(resolve => {
+		fixture.server.close(() => {
+			resolve();
+		});
+	});
+	const first = await run(fixture, createRequest('a'));
+	const second = await run(fixture, createRequest('b'));
+	assert.deepEqual([first.kind, second.kind], ['not-run', 'not-run']);
+	assert.equal(fixture.refused.length, 1);
+	fixture.gate.close();
+});
