fix: let no request wait for a node that is not reached

Change: a link that failed is tried again in the background; questions fail at once until it was reached. A silent connection is given up after 0.6 s without an answer to a ping.

--- a/node/ingress/src/routing.ts
+++ b/node/ingress/src/routing.ts
@@ -221,10 +221,10 @@
 	}
 
 	#chooseLeastBusy(service: string): DirectoryEntry | undefined {
-		const {view, statistics, random} = this.#opts;
+		const {view, statistics, random, links, ownAddress} = this.#opts;
 		const nowMs = this.#readNowMs();
 		const nodes = view.listNodes(service).filter(({address, failureDomain}) => !this.#tried.has(address) && !view.isEvacuated(failureDomain));
-		const reachable = nodes.filter(({address}) => !statistics.isDown(address, nowMs));
+		const reachable = nodes.filter(({address}) => address === ownAddress || (!statistics.isDown(address, nowMs) && !links.get(address).isDown()));
 		const candidates = reachable.length > 0 ? [...reachable] : [...nodes];
 		let best: DirectoryEntry | undefined;
 		let bestMs = Number.POSITIVE_INFINITY;
--- a/node/peers/src/peer-link.ts
+++ b/node/peers/src/peer-link.ts
@@ -23,7 +23,7 @@
 	/** Host and port of the other node's listener. */
 	readonly address: string;
 	readonly clock: Clock;
-	/** Called when the link was lost or could not be opened. */
+	/** Called when the other node is not reached any more. */
 	readonly onDown: (reason: string) => void;
 };
 
@@ -34,10 +34,13 @@
 const checkIntervalMs = 250;
 
 /** A link from which nothing came for this long though an answer to a ping is due is silent. In milliseconds. */
-const silentMs = 900;
+const silentMs = 600;
 
-/** After a failure the link stays down for this long, in milliseconds, so that questions fail at once. */
-const downMs = 250;
+/** How long after a failure the other node is tried again, in milliseconds. Questions fail at once until it was reached. */
+const probeMs = 250;
+
+/** A node that nobody asked for this long, in milliseconds, is not tried any more. */
+const forgottenMs = 5000;
 
 /** A connection to another node. It carries any number of questions at a time, and is opened when the first one comes. */
 export class PeerLink {
@@ -51,7 +54,9 @@
 	#timer: Timer | undefined;
 	#heardMs = 0;
 	#pingedMs: number | undefined;
-	#downUntilMs = Number.NEGATIVE_INFINITY;
+	#isUnreached = false;
+	#askedMs = Number.NEGATIVE_INFINITY;
+	#probeTimer: Timer | undefined;
 	#isClosed = false;
 	/** The other node said that it takes nothing more on this connection. */
 	#isLeaving = false;
@@ -60,9 +65,9 @@
 		this.#opts = opts;
 	}
 
-	/** Whether questions fail at once because the other node was not reached a moment ago. */
+	/** Whether questions fail at once: the other node was not reached, and has not been since. */
 	isDown(): boolean {
-		return this.#isLeaving || this.#readNowMs() < this.#downUntilMs;
+		return this.#isLeaving || this.#isUnreached;
 	}
 
 	/** Whether questions are open. */
@@ -72,7 +77,9 @@
 
 	/** Sends a question. Returns its number, by which it may be cancelled; undefined where it failed at once. */
 	ask(type: FrameType, meta: unknown, handler: PeerHandler, body?: Uint8Array): number | undefined {
+		this.#askedMs = this.#readNowMs();
 		if (this.#isClosed || this.isDown()) {
+			this.#probe();
 			handler.onFailure({wasSent: false, reason: 'the node was not reached a moment ago'});
 			return undefined;
 		}
@@ -97,6 +104,7 @@
 
 	close(): void {
 		this.#isClosed = true;
+		this.#probeTimer?.close();
 		this.#fail('the link was closed', false);
 	}
 
@@ -143,6 +151,7 @@
 
 	#handleConnect(socket: Socket): void {
 		this.#isConnected = true;
+		this.#isUnreached = false;
 		this.#heardMs = this.#readNowMs();
 		socket.cork();
 		for (const bytes of this.#unsent.splice(0)) {
@@ -182,7 +191,8 @@
 	}
 
 	#check(): void {
-		if (this.#socket === undefined || this.#pending.size === 0) {
+		const isOpening = this.#socket !== undefined && !this.#isConnected;
+		if (this.#socket === undefined || (this.#pending.size === 0 && !isOpening)) {
 			return;
 		}
 
@@ -218,8 +228,7 @@
 		const pending = [...this.#pending.values()];
 		this.#pending.clear();
 		if (isDown) {
-			this.#downUntilMs = this.#readNowMs() + downMs;
-			this.#opts.onDown(reason);
+			this.#noteUnreached(reason);
 		}
 
 		for (const handler of pending) {
@@ -227,6 +236,30 @@
 		}
 	}
 
+	#noteUnreached(reason: string): void {
+		if (!this.#isUnreached) {
+			this.#opts.onDown(reason);
+		}
+
+		this.#isUnreached = true;
+		this.#probe();
+	}
+
+	/** Tries the other node again after a while, without a question that would have to wait for it. */
+	#probe(): void {
+		if (this.#isClosed || this.#socket !== undefined || this.#probeTimer !== undefined) {
+			return;
+		}
+
+		this.#probeTimer = this.#opts.clock.startTimer(probeMs, () => {
+			this.#probeTimer = undefined;
+			if (this.#socket === undefined && this.#readNowMs() - this.#askedMs < forgottenMs) {
+				this.#open();
+				this.#startTimer();
+			}
+		});
+	}
+
 	#readNowMs(): number {
 		return this.#opts.clock.readMoment().monotonicMs;
 	}
--- a/node/peers/test/peers.test.ts
+++ b/node/peers/test/peers.test.ts
@@ -97,3 +97,26 @@
 	await waitFor(() => fixture.cancelled.length === 1);
 	close(fixture);
 });
+
+test('a node that was not reached is tried again, and reached once it is back', async () => {
+	const fixture = await openFixture();
+	const port = fixture.server.getPort();
+	assert.deepEqual(await fixture.links.call(fixture.address, 1, 5000), {echo: 1});
+	fixture.server.close();
+	const link = fixture.links.get(fixture.address);
+	await waitFor(() => link.isDown());
+	assert.equal(await fixture.links.call(fixture.address, 2, 5000), undefined);
+	const next = new PeerServer({
+		onRequest: () => () => undefined,
+		onCall(meta, reply) {
+			reply({again: meta});
+		},
+		onNotice: () => undefined,
+		onProblem: () => undefined,
+	});
+	await next.listen('127.0.0.1', port);
+	await waitFor(() => !link.isDown());
+	assert.deepEqual(await fixture.links.call(fixture.address, 3, 5000), {again: 3});
+	next.close();
+	close(fixture);
+});
