--- a/node/mesh-daemon/src/node-metrics.ts
+++ b/node/mesh-daemon/src/node-metrics.ts
@@ -17,7 +17,7 @@
 
 const milliseconds = 1000;
 
-/** The counters, gauges and histograms of a node. docs/METRICS.md lists them. */
+/** The counters, gauges and histograms of a node. docs/operators/fleet.md lists them. */
 export class NodeMetrics {
 	readonly #registry = new Registry();
 	readonly #requests = new Counter({
