fix: tell an owner at once that a range of it was given to another

Cause: found by taking the withholding out of the controller: an owner that came back after its lease kept its list of ranges, since only the winners of a written map were told. Change: the losers' lists change too.

--- a/core/key-ranges/src/range-controller.ts
+++ b/core/key-ranges/src/range-controller.ts
@@ -135,7 +135,8 @@
 		}
 
 		this.#moves = this.#moves.filter(move => move.service !== map.service || !changed.some(segment => hasOverlap(segment, move)));
-		for (const owner of owners) {
+		const losers = (earlier?.segments ?? []).filter(({owner}) => owner !== undefined && !owners.has(owner)).filter(segment => changed.some(range => hasOverlap(range, segment)));
+		for (const owner of new Set([...owners, ...losers.flatMap(segment => segment.owner ?? [])])) {
 			this.#updateAssignment(owner);
 		}
 
--- a/node/cell-link/test/schedules.test.ts
+++ b/node/cell-link/test/schedules.test.ts
@@ -55,6 +55,37 @@
 	assert.deepEqual(fleet.problems, []);
 });
 
+test('a VM that was suspended for longer than its lease grants nothing when it wakes', async () => {
+	const fleet = new SimulatedFleet(5, 10);
+	await fleet.run(settleMs);
+	const vm = fleet.vms.find(({node}) => node?.control.isLeading === false)!;
+	vm.isFrozen = true;
+	await fleet.run(9000);
+	assert.deepEqual(fleet.listUnheld(), [], 'others took its keys');
+	vm.isFrozen = false;
+	await fleet.run(2000);
+	assert.deepEqual(fleet.problems, []);
+});
+
+test('a write whose answer was lost and that takes effect late gives no key to a second server', async () => {
+	for (let seed = 20; seed < 24; seed++) {
+		const fleet = new SimulatedFleet(5, seed);
+		await fleet.run(settleMs);
+		const vm = fleet.vms.find(({node}) => node?.control.isLeading === false)!;
+		// Its lease ends, the keys are planned for others, and the write is on its way when it is back.
+		vm.isCut = true;
+		await fleet.run(4000);
+		fleet.store.faults.lostShare = 1;
+		fleet.store.faults.isLate = true;
+		await fleet.run(1500);
+		vm.isCut = false;
+		await fleet.run(3000);
+		fleet.store.faults.lostShare = 0;
+		await fleet.run(8000);
+		assert.deepEqual(fleet.problems, [], `seed ${seed}`);
+	}
+});
+
 async function runFaults(fleet: SimulatedFleet, random: SeededRandom): Promise<void> {
 	for (let fault = 0; fault < 5; fault++) {
 		const vm = fleet.vms[random.drawBelow(fleet.vms.length)]!;
