fix: never begin a request whose caller left while its frame waited

The frame waited for a connection or a busy node, and the cancellation behind it was read only after the request had begun. Change: a request that was not sent is taken out of the link; a node skips requests whose cancellation came in the same bytes. Test: peers.test.ts, fails without either. Also: the log's library is taken by its default export, which plain Node.js needs.

--- a/node/ingress/src/caller-server.ts
+++ b/node/ingress/src/caller-server.ts
@@ -32,7 +32,7 @@
 /** What a caller server works with. */
 export type CallerServerOpts = {
 	readonly view: FleetView;
-	readonly router: RequestRouter;
+	readonly router: Pick<RequestRouter, 'route'>;
 	readonly clock: Clock;
 	/** The service on this VM: all requests begin there. */
 	readonly getCallerService: () => string;
--- a/node/ingress/src/routing.ts
+++ b/node/ingress/src/routing.ts
@@ -158,8 +158,7 @@
 			this.#attempt = {
 				cancel() {
 					if (!isDone) {
-						link.removeQuestion(id);
-						link.announce(frameTypes.cancel, id);
+						link.cancelQuestion(id);
 						noteDone(undefined);
 					}
 				},
--- /dev/null
+++ b/node/ingress/test/caller-server.test.ts
@@ -0,0 +1,177 @@
+import assert from 'node:assert/strict';
+import {Buffer} from 'node:buffer';
+import {request as sendRequest, type IncomingMessage} from 'node:http';
+import test from 'node:test';
+import type {Outcome} from '@buckthornpoint/backend-link/outcome.js';
+import {SystemClock} from '@buckthornpoint/clock/system-clock.js';
+import type {RouteTable} from '@buckthornpoint/routes/routes.js';
+import {CallerServer, type FinishedRequest} from '../src/caller-server.js';
+import {FleetView} from '../src/fleet-view.js';
+import type {RoutedRequest} from '../src/routing.js';
+
+const table: RouteTable = {
+	version: 3,
+	routes: [{
+		name: 'r', host: 'a.example', prefix: '/x/', kind: 'non-idempotent', priority: 1, timeoutMs: 800, targetMs: 250, maxAttempts: 2, services: [{service: 'sklad', weight: 1}],
+	}],
+	services: new Map([['sklad', {
+		name: 'sklad', healthPath: '/', maxConnections: 10, coldMs: 0, coldPerS: 1, isDivided: true,
+	}]]),
+	limits: {
+		headerBytes: 1000, bodyBytes: 10, headerTimeoutMs: 3000, idleTimeoutMs: 15_000,
+	},
+};
+
+type Fixture = {
+	readonly server: CallerServer;
+	readonly view: FleetView;
+	readonly routed: RoutedRequest[];
+	readonly finished: FinishedRequest[];
+	readonly cancelled: string[];
+};
+
+async function openFixture(outcome: Outcome | undefined, isConfigured = true): Promise<Fixture> {
+	const view = new FleetView();
+	if (isConfigured) {
+		view.setRoutes(table, '');
+	}
+
+	const routed: RoutedRequest[] = [];
+	const finished: FinishedRequest[] = [];
+	const cancelled: string[] = [];
+	const server = new CallerServer({
+		view,
+		router: {
+			route(request, finish) {
+				routed.push(request);
+				if (outcome !== undefined) {
+					finish({outcome, tries: []});
+				}
+
+				return {
+					cancel() {
+						cancelled.push(request.requestId);
+					},
+				};
+			},
+		},
+		clock: new SystemClock(),
+		getCallerService: () => 'own',
+		onFinished(each) {
+			finished.push(each);
+		},
+	});
+	await server.listen('127.0.0.1', 0);
+	return {
+		server, view, routed, finished, cancelled,
+	};
+}
+
+type CallOpts = {readonly path?: string; readonly headers?: Record<string, string>; readonly body?: string};
+
+type Answer = {readonly status: number; readonly headers: IncomingMessage['headers']; readonly body: string; readonly isWhole: boolean};
+
+async function call({server}: Fixture, opts: CallOpts = {}): Promise<Answer> {
+	return new Promise((resolve, reject) => {
+		const outgoing = sendRequest({
+			host: '127.0.0.1', port: server.getPort(), method: 'POST', path: opts.path ?? '/x/1', agent: false,
+			headers: {
+				host: 'a.example', 'Buckthornpoint-Request-Id': 'id-1', 'Buckthornpoint-Deadline-Ms': '1500', 'Buckthornpoint-Shard-Key': '77', ...opts.headers,
+			},
+		}, response => {
+			const chunks: Uint8Array[] = [];
+			response.on('data', (chunk: Uint8Array) => {
+				chunks.push(chunk);
+			});
+			response.on('end', () => {
+				resolve({
+					status: response.statusCode ?? 0, headers: response.headers, body: Buffer.concat(chunks).toString('utf8'), isWhole: response.complete,
+				});
+			});
+		});
+		outgoing.on('error', reject);
+		outgoing.end(opts.body ?? 'body');
+	});
+}
+
+test('a request is routed with its key, its limits and the service of this VM', async () => {
+	const fixture = await openFixture({
+		kind: 'answer', status: 201, headers: ['X-Seal', 's'], body: Buffer.from('done'), isFramed: true,
+	});
+	const answer = await call(fixture);
+	assert.deepEqual([answer.status, answer.headers['x-seal'], answer.headers['content-length'], answer.body], [201, 's', '4', 'done']);
+	const [request] = fixture.routed;
+	assert.deepEqual([request?.key, request?.service, request?.callerService, request?.isIdempotent, request?.isDivided], [77, 'sklad', 'own', false, true]);
+	assert.equal(Math.round((request?.endMs ?? 0) - (request?.targetEndMs ?? 0)), 800 - 250);
+	fixture.server.close();
+});
+
+test('an answer without a length ends with its connection', async () => {
+	const fixture = await openFixture({
+		kind: 'answer', status: 200, headers: [], body: Buffer.from('half'), isFramed: false,
+	});
+	const answer = await call(fixture);
+	assert.equal(answer.body, 'half');
+	assert.equal(answer.headers['content-length'], undefined);
+	assert.equal(answer.headers['transfer-encoding'], undefined);
+	assert.equal(answer.headers.connection, 'close');
+	fixture.server.close();
+});
+
+test('a refusal says that nothing ran and when to come back; an unknown outcome promises nothing', async () => {
+	const refusing = await openFixture({
+		kind: 'not-run', reason: 'overloaded', retryAfterMs: 120, wasOffered: false,
+	});
+	const refused = await call(refusing);
+	assert.deepEqual([refused.status, refused.headers['retry-after'], refused.headers['buckthornpoint-request-id']], [503, '0.120', 'id-1']);
+	refusing.server.close();
+	const statuses: number[] = [];
+	for (const reason of ['timeout', 'connection-lost'] as const) {
+		const fixture = await openFixture({kind: 'unknown', reason});
+		const answer = await call(fixture);
+		statuses.push(answer.status);
+		fixture.server.close();
+	}
+
+	assert.deepEqual(statuses, [504, 502]);
+});
+
+test('bad requests get one typed answer each, and a node without routes says so', async () => {
+	const fixture = await openFixture(undefined);
+	const statuses: number[] = [];
+	const calls: readonly CallOpts[] = [{path: '/y/1'}, {headers: {host: 'b.example'}}, {body: 'longer than ten'}, {headers: {'X-Long': 'x'.repeat(1000)}}];
+	for (const opts of calls) {
+		const answer = await call(fixture, opts);
+		statuses.push(answer.status);
+	}
+
+	assert.deepEqual(statuses, [404, 404, 413, 431]);
+	fixture.server.close();
+	const empty = await openFixture(undefined, false);
+	const answer = await call(empty, {path: '/y/1'});
+	assert.equal(answer.status, 503);
+	assert.ok(answer.headers['retry-after'] !== undefined);
+	empty.server.close();
+});
+
+test('a caller that leaves takes its request back', async () => {
+	const fixture = await openFixture(undefined);
+	const outgoing = sendRequest({
+		host: '127.0.0.1', port: fixture.server.getPort(), path: '/x/1', headers: {host: 'a.example', 'Buckthornpoint-Request-Id': 'id-2'},
+	});
+	outgoing.on('error', () => undefined);
+	outgoing.end();
+	const clock = new SystemClock();
+	while (fixture.routed.length === 0) {
+		await clock.sleep(1);
+	}
+
+	outgoing.destroy();
+	while (fixture.cancelled.length === 0) {
+		await clock.sleep(1);
+	}
+
+	assert.deepEqual(fixture.cancelled, ['id-2']);
+	assert.equal(fixture.finished[0]?.outcome, 'cancelled');
+	fixture.server.close();
+});
--- a/node/log/src/bounded-json-log.ts
+++ b/node/log/src/bounded-json-log.ts
@@ -1,5 +1,5 @@
 import type {Clock} from '@buckthornpoint/clock/clock.js';
-import {SonicBoom} from 'sonic-boom';
+import sonicBoom, {type SonicBoom} from 'sonic-boom';
 import type {LogEvent, LogLevel} from './events.js';
 import {Log} from './log.js';
 
@@ -97,7 +97,7 @@
 	}
 
 	#openSink(): SonicBoom {
-		const sink = new SonicBoom({
+		const sink = new sonicBoom.SonicBoom({
 			fd: 1, sync: false, minLength: minWriteBytes, maxLength: maxBufferedBytes, contentMode: 'utf8',
 		});
 		sink.on('drop', () => {
--- a/node/mesh-daemon/src/mesh-node.ts
+++ b/node/mesh-daemon/src/mesh-node.ts
@@ -214,7 +214,7 @@
 			getEvacuation: () => this.#view.getEvacuation(),
 			askMembers: addresses => {
 				for (const address of addresses) {
-					this.#links.get(address).announce(frameTypes.notice, 0, {});
+					this.#links.get(address).announce(frameTypes.notice, {});
 				}
 			},
 			onEvent: event => {
--- a/node/peers/src/peer-link.ts
+++ b/node/peers/src/peer-link.ts
@@ -49,7 +49,8 @@
 	#socket: Socket | undefined;
 	#reader = new FrameReader();
 	#isConnected = false;
-	#unsent: Buffer[] = [];
+	/** Frames that wait for the connection, by the number of their question. */
+	readonly #unsent = new Map<number, Buffer>();
 	#nextId = 1;
 	#timer: Timer | undefined;
 	#heardMs = 0;
@@ -86,14 +87,14 @@
 
 		const id = this.#nextId++;
 		this.#pending.set(id, handler);
-		this.#write(encodeFrame(type, id, meta, body));
+		this.#write(id, encodeFrame(type, id, meta, body));
 		return id;
 	}
 
 	/** Tells the other node something that has no answer. It is lost where there is no connection. */
-	announce(type: FrameType, id: number, meta?: unknown): void {
+	announce(type: FrameType, meta: unknown): void {
 		if (!this.#isClosed && !this.isDown()) {
-			this.#write(encodeFrame(type, id, meta));
+			this.#write(this.#nextId++, encodeFrame(type, 0, meta));
 		}
 	}
 
@@ -102,13 +103,21 @@
 		this.#pending.delete(id);
 	}
 
+	/** Takes a question back: one that was not sent never will be, and of others the other node is told. */
+	cancelQuestion(id: number): void {
+		this.#pending.delete(id);
+		if (!this.#unsent.delete(id) && this.#isConnected) {
+			this.#socket?.write(encodeFrame(frameTypes.cancel, id, undefined));
+		}
+	}
+
 	close(): void {
 		this.#isClosed = true;
 		this.#probeTimer?.close();
 		this.#fail('the link was closed', false);
 	}
 
-	#write(bytes: Buffer): void {
+	#write(id: number, bytes: Buffer): void {
 		if (this.#socket === undefined) {
 			this.#open();
 		}
@@ -116,7 +125,7 @@
 		if (this.#isConnected) {
 			this.#socket?.write(bytes);
 		} else {
-			this.#unsent.push(bytes);
+			this.#unsent.set(id, bytes);
 		}
 
 		this.#startTimer();
@@ -154,10 +163,11 @@
 		this.#isUnreached = false;
 		this.#heardMs = this.#readNowMs();
 		socket.cork();
-		for (const bytes of this.#unsent.splice(0)) {
+		for (const bytes of this.#unsent.values()) {
 			socket.write(bytes);
 		}
 
+		this.#unsent.clear();
 		socket.uncork();
 	}
 
@@ -221,7 +231,7 @@
 		this.#socket = undefined;
 		this.#isConnected = false;
 		this.#isLeaving = false;
-		this.#unsent = [];
+		this.#unsent.clear();
 		this.#timer?.close();
 		this.#timer = undefined;
 		socket?.destroy();
--- a/node/peers/src/peer-server.ts
+++ b/node/peers/src/peer-server.ts
@@ -72,8 +72,13 @@
 		this.#sockets.add(socket);
 		socket.on('data', chunk => {
 			try {
-				for (const frame of reader.read(chunk)) {
-					this.#handleFrame(frame, socket, cancels);
+				const frames = reader.read(chunk);
+				// After a stall a request and its cancellation arrive together: the request must not be begun.
+				const cancelled = new Set(frames.filter(({type}) => type === frameTypes.cancel).map(({id}) => id));
+				for (const frame of frames) {
+					if (frame.type !== frameTypes.request || !cancelled.has(frame.id)) {
+						this.#handleFrame(frame, socket, cancels);
+					}
 				}
 			} catch (error) {
 				this.#handlers.onProblem(String(error));
--- a/node/peers/test/peers.test.ts
+++ b/node/peers/test/peers.test.ts
@@ -120,3 +120,19 @@
 	next.close();
 	close(fixture);
 });
+
+test('a request that is taken back before it was sent, or in the same bytes, never begins', async () => {
+	const fixture = await openFixture();
+	const link = fixture.links.get(fixture.address);
+	const handler = {onAnswer: () => undefined, onFailure: () => undefined};
+	// The connection is not open yet: nothing of the first request goes out.
+	const first = link.ask(frameTypes.request, 'first', handler);
+	link.cancelQuestion(first ?? 0);
+	assert.deepEqual(await fixture.links.call(fixture.address, 1, 5000), {echo: 1});
+	assert.equal(fixture.requests.length, 0);
+	const second = link.ask(frameTypes.request, 'second', handler);
+	link.cancelQuestion(second ?? 0);
+	assert.deepEqual(await fixture.links.call(fixture.address, 2, 5000), {echo: 2});
+	assert.ok(fixture.requests.length === 0 || fixture.cancelled.length === 1);
+	close(fixture);
+});
