fix: give a silent connection between nodes 0.9 s again

A node that restarts or runs slow may take over half a second to answer a ping; a connection that is given up too soon ends requests that must not run twice with an unknown outcome. The background probing of links that failed stays.

--- a/node/peers/src/peer-link.ts
+++ b/node/peers/src/peer-link.ts
@@ -34,7 +34,7 @@
 const checkIntervalMs = 250;
 
 /** A link from which nothing came for this long though an answer to a ping is due is silent. In milliseconds. */
-const silentMs = 600;
+const silentMs = 900;
 
 /** How long after a failure the other node is tried again, in milliseconds. Questions fail at once until it was reached. */
 const probeMs = 250;
