--- /dev/null
+++ b/node/mesh-daemon/test/settings.test.ts
@@ -0,0 +1,30 @@
+import assert from 'node:assert/strict';
+import {readFileSync} from 'node:fs';
+import test from 'node:test';
+import {parseMeshSettings} from '../src/settings.js';
+import {deriveRetryBudget, deriveTimes} from '../src/times.js';
+
+const example = readFileSync(new URL('../../../../examples/fleet-node.jsonc', import.meta.url), 'utf8');
+
+test('the example is valid, and times follow from it', () => {
+	const settings = parseMeshSettings(example, 'fleet-node.jsonc')._unsafeUnwrap();
+	const times = deriveTimes(settings);
+	assert.equal(settings.logLevel, 'info');
+	assert.equal(times.holdMs, 3800);
+	assert.ok(times.controller.leaseMs > times.holdMs);
+	assert.ok(times.holdMs <= settings.bounds.maxHoldSeconds * 1000);
+	assert.ok(times.leavingMs < settings.bounds.drainSeconds * 1000);
+	assert.ok(deriveRetryBudget(settings).share < settings.bounds.retryRatio);
+});
+
+test('all findings are told together, with line and name', () => {
+	const text = example.replace('"vm-1"', '5').replace('"127.0.0.1:7300"', '"nowhere"').replace('"retryRatio": 0.2', '"retryRatio": 3').replace('"store"', '"stor"');
+	const findings = parseMeshSettings(text, 'f.jsonc')._unsafeUnwrapErr();
+	assert.deepEqual(findings.map(({code}) => code).toSorted(), ['ERR_DOCUMENT_TYPE', 'ERR_DOCUMENT_UNKNOWN_NAME', 'ERR_DOCUMENT_VALUE', 'ERR_DOCUMENT_VALUE', 'ERR_DOCUMENT_VALUE']);
+	assert.ok(findings.every(({place}) => place !== undefined && place.line > 0));
+	assert.ok(findings.some(({hint}) => hint?.includes('store') === true));
+});
+
+test('a file that is cut short is one finding, not a crash', () => {
+	assert.ok(parseMeshSettings(example.slice(0, -20), 'f.jsonc').isErr());
+});
