fix: do not begin a request that was held up on its way between nodes

Ruled out: reading everything that has arrived before anything is handled. A burst of 20 requests and their cancellations on loopback came as two batches, since the connection lets only some segments out at a time; 15 of 20 began all the same. Change: requests carry the sender's clock; the node measures how long each was held up against the quickest of late on its connection, takes that off the time left, and refuses what was held up for over 0.25 s as not run. Tests: transit-meter.test.ts, handle-peer-request.test.ts.

--- a/node/mesh-daemon/src/handle-peer-request.ts
+++ b/node/mesh-daemon/src/handle-peer-request.ts
@@ -2,11 +2,11 @@
 import {createNotRun, type Outcome, type OwnerRequest} from '@buckthornpoint/backend-link/outcome.js';
 import {decodeOwnerRequest, encodeOutcome} from '@buckthornpoint/ingress/owner-messages.js';
 import type {Log} from '@buckthornpoint/log/log.js';
-import type {Reply} from '@buckthornpoint/peers/peer-server.js';
+import type {ReceivedRequest, Reply} from '@buckthornpoint/peers/peer-server.js';
 
 /** What the handling of requests of other nodes works with. */
 export type PeerRequestOpts = {
-	readonly gate: BackendGate;
+	readonly gate: Pick<BackendGate, 'admit' | 'readLoad'>;
 	readonly log: Log;
 	/** Whether the node is about to end and takes nothing more. */
 	readonly isLeaving: () => boolean;
@@ -15,10 +15,20 @@
 /** When to come back to a node that ends, in milliseconds: it is back, or its ranges have moved, within about this time. */
 const leavingRetryMs = 600;
 
+/**
+ * A request that was held up for longer than this on its way, in milliseconds, is not begun: its caller may have left,
+ * and the word of that may be held up behind it. Half of the time within which nothing may reach a server any more.
+ */
+const maxDelayMs = 250;
+
+/** When to come back after a request was held up, in milliseconds. */
+const heldUpRetryMs = 100;
+
 /** Runs a request of another node at the backend server beside. Returns how it is given up. */
-export function handlePeerRequest({meta, body, reply}: {readonly meta: unknown; readonly body: Uint8Array; readonly reply: Reply}, opts: PeerRequestOpts): () => void {
+export function handlePeerRequest({meta, body, delayMs}: ReceivedRequest, reply: Reply, opts: PeerRequestOpts): () => void {
 	const {gate, log} = opts;
-	const request = decodeOwnerRequest(meta, body);
+	const sent = decodeOwnerRequest(meta, body);
+	const request: OwnerRequest = {...sent, remainingMs: sent.remainingMs - delayMs, targetMs: sent.targetMs - delayMs};
 	const finish = (outcome: Outcome): void => {
 		const load = gate.readLoad();
 		logOutcome(log, request, {outcome, load});
@@ -31,6 +41,11 @@
 		return () => undefined;
 	}
 
+	if (delayMs > maxDelayMs) {
+		finish(createNotRun('held-up', heldUpRetryMs));
+		return () => undefined;
+	}
+
 	const ticket = gate.admit(request, finish);
 	return () => {
 		ticket.cancel();
--- a/node/mesh-daemon/src/mesh-node.ts
+++ b/node/mesh-daemon/src/mesh-node.ts
@@ -185,8 +185,8 @@
 	}
 
 	#createPeerServer(): PeerServer {
-		return new PeerServer({
-			onRequest: (meta, body, reply) => handlePeerRequest({meta, body, reply}, {
+		return new PeerServer(this.#opts.clock, {
+			onRequest: (received, reply) => handlePeerRequest(received, reply, {
 				gate: this.#gate, log: this.#opts.log, isLeaving: () => this.#isLeaving,
 			}),
 			onCall: (meta, reply) => {
--- /dev/null
+++ b/node/mesh-daemon/test/handle-peer-request.test.ts
@@ -0,0 +1,54 @@
+import assert from 'node:assert/strict';
+import test from 'node:test';
+import type {OwnerRequest} from '@buckthornpoint/backend-link/outcome.js';
+import {SilentLog} from '@buckthornpoint/log/reporters.js';
+import {handlePeerRequest, type PeerRequestOpts} from '../src/handle-peer-request.js';
+
+const meta: Omit<OwnerRequest, 'body'> = {
+	requestId: 'a', method: 'GET', path: '/', headers: [], key: 1, service: 's', route: 'r', callerService: 'c', priority: 1, isIdempotent: true, remainingMs: 1000, targetMs: 200,
+};
+
+function handle(delayMs: number, isLeaving = false): {readonly admitted: readonly OwnerRequest[]; readonly answers: readonly unknown[]} {
+	const admitted: OwnerRequest[] = [];
+	const answers: unknown[] = [];
+	const opts: PeerRequestOpts = {
+		gate: {
+			admit(request) {
+				admitted.push(request);
+				return {cancel: () => undefined};
+			},
+			readLoad: () => ({
+				outstanding: 0, slots: 1, serviceMs: 1, failureShare: 0,
+			}),
+		},
+		log: new SilentLog(),
+		isLeaving: () => isLeaving,
+	};
+	handlePeerRequest({meta, body: new Uint8Array(), delayMs}, answer => {
+		answers.push(answer);
+	}, opts);
+	return {admitted, answers};
+}
+
+function getOutcome(answer: unknown): unknown {
+	return (answer as {readonly outcome: unknown}).outcome; // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion
+}
+
+test('a request that was held up for long on its way is refused as not run, not begun for a caller that may have left', () => {
+	const {admitted, answers} = handle(600);
+	assert.equal(admitted.length, 0);
+	assert.deepEqual(getOutcome(answers[0]), {
+		kind: 'not-run', reason: 'held-up', retryAfterMs: 100, wasOffered: false,
+	});
+});
+
+test('the time that a request was held up is taken off what is left', () => {
+	const {admitted} = handle(40);
+	assert.deepEqual([admitted[0]?.remainingMs, admitted[0]?.targetMs], [960, 160]);
+});
+
+test('a node that ends takes nothing more', () => {
+	const {admitted, answers} = handle(0, true);
+	assert.equal(admitted.length, 0);
+	assert.equal((getOutcome(answers[0]) as {readonly reason: string}).reason, 'stopping'); // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion
+});
--- a/node/peers/src/peer-link.ts
+++ b/node/peers/src/peer-link.ts
@@ -18,6 +18,12 @@
 	readonly onFailure: (failure: PeerFailure) => void;
 };
 
+/** A request with the sender's clock when it was sent, in milliseconds. */
+export type SentRequest = {
+	readonly sentMs: number;
+	readonly request: unknown;
+};
+
 /** How a link behaves. */
 export type PeerLinkOpts = {
 	/** Host and port of the other node's listener. */
@@ -87,7 +93,7 @@
 
 		const id = this.#nextId++;
 		this.#pending.set(id, handler);
-		this.#write(id, encodeFrame(type, id, meta, body));
+		this.#write(id, encodeFrame(type, id, type === frameTypes.request ? {sentMs: this.#readNowMs(), request: meta} satisfies SentRequest : meta, body));
 		return id;
 	}
 
--- a/node/peers/src/peer-server.ts
+++ b/node/peers/src/peer-server.ts
@@ -1,15 +1,26 @@
 import {createServer, type Server, type Socket} from 'node:net';
+import type {Clock} from '@buckthornpoint/clock/clock.js';
 import {
 	encodeFrame, FrameReader, frameTypes, type Frame,
 } from '@buckthornpoint/frames/frames.js';
+import type {SentRequest} from './peer-link.js';
+import {TransitMeter} from './transit-meter.js';
 
 /** Answers a question of another node, once. */
 export type Reply = (meta: unknown, body?: Uint8Array) => void;
 
+/** A request as it came from another node. */
+export type ReceivedRequest = {
+	readonly meta: unknown;
+	readonly body: Uint8Array;
+	/** How long it was held up on its way, in milliseconds. */
+	readonly delayMs: number;
+};
+
 /** What a node does with the messages of others. */
 export type PeerServerHandlers = {
-	/** Takes a request for the backend server beside. Returns how it is given up. */
-	readonly onRequest: (meta: unknown, body: Uint8Array, reply: Reply) => () => void;
+	/** Takes a request for the backend server beside, with how long it was held up on its way. Returns how it is given up. */
+	readonly onRequest: (received: ReceivedRequest, reply: Reply) => () => void;
 	/** Takes a control call. */
 	readonly onCall: (meta: unknown, reply: Reply) => void;
 	/** Takes a message that has no answer. */
@@ -18,13 +29,22 @@
 	readonly onProblem: (problem: string) => void;
 };
 
+type Connection = {
+	readonly socket: Socket;
+	/** How requests that run are given up, by the number of their question. */
+	readonly cancels: Map<number, () => void>;
+	readonly transit: TransitMeter;
+};
+
 /** Listens for the other nodes. */
 export class PeerServer {
+	readonly #clock: Clock;
 	readonly #handlers: PeerServerHandlers;
 	readonly #server: Server;
 	readonly #sockets = new Set<Socket>();
 
-	constructor(handlers: PeerServerHandlers) {
+	constructor(clock: Clock, handlers: PeerServerHandlers) {
+		this.#clock = clock;
 		this.#handlers = handlers;
 		this.#server = createServer({noDelay: true}, socket => {
 			this.#serveSocket(socket);
@@ -68,7 +88,7 @@
 
 	#serveSocket(socket: Socket): void {
 		const reader = new FrameReader();
-		const cancels = new Map<number, () => void>();
+		const connection: Connection = {socket, cancels: new Map(), transit: new TransitMeter()};
 		this.#sockets.add(socket);
 		socket.on('data', chunk => {
 			try {
@@ -77,7 +97,7 @@
 				const cancelled = new Set(frames.filter(({type}) => type === frameTypes.cancel).map(({id}) => id));
 				for (const frame of frames) {
 					if (frame.type !== frameTypes.request || !cancelled.has(frame.id)) {
-						this.#handleFrame(frame, socket, cancels);
+						this.#handleFrame(frame, connection);
 					}
 				}
 			} catch (error) {
@@ -90,13 +110,14 @@
 		});
 		socket.on('close', () => {
 			this.#sockets.delete(socket);
-			for (const cancel of cancels.values()) {
+			for (const cancel of connection.cancels.values()) {
 				cancel();
 			}
 		});
 	}
 
-	#handleFrame(frame: Frame, socket: Socket, cancels: Map<number, () => void>): void {
+	#handleFrame(frame: Frame, connection: Connection): void {
+		const {socket, cancels} = connection;
 		const {type, id, meta} = frame;
 		switch (type) {
 			case frameTypes.ping: {
@@ -105,7 +126,7 @@
 			}
 
 			case frameTypes.request: {
-				this.#handleRequest(frame, socket, cancels);
+				this.#handleRequest(frame, connection);
 				break;
 			}
 
@@ -137,9 +158,11 @@
 		}
 	}
 
-	#handleRequest({id, meta, body}: Frame, socket: Socket, cancels: Map<number, () => void>): void {
+	#handleRequest({id, meta, body}: Frame, {socket, cancels, transit}: Connection): void {
+		const {sentMs, request} = meta as SentRequest; // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion
+		const delayMs = transit.measureDelay(sentMs, this.#clock.readMoment().monotonicMs);
 		let isAnswered = false;
-		const cancel = this.#handlers.onRequest(meta, body, (answer, answerBody) => {
+		const cancel = this.#handlers.onRequest({meta: request, body, delayMs}, (answer, answerBody) => {
 			isAnswered = true;
 			cancels.delete(id);
 			writeIfOpen(socket, encodeFrame(frameTypes.response, id, answer, answerBody));
--- a/node/peers/test/peers.test.ts
+++ b/node/peers/test/peers.test.ts
@@ -17,8 +17,8 @@
 async function openFixture(): Promise<Fixture> {
 	const requests: Fixture['requests'] = [];
 	const cancelled: unknown[] = [];
-	const server = new PeerServer({
-		onRequest(meta, _body, reply) {
+	const server = new PeerServer(new SystemClock(), {
+		onRequest({meta}, reply) {
 			requests.push({meta, reply});
 			return () => {
 				cancelled.push(meta);
@@ -106,7 +106,7 @@
 	const link = fixture.links.get(fixture.address);
 	await waitFor(() => link.isDown());
 	assert.equal(await fixture.links.call(fixture.address, 2, 5000), undefined);
-	const next = new PeerServer({
+	const next = new PeerServer(new SystemClock(), {
 		onRequest: () => () => undefined,
 		onCall(meta, reply) {
 			reply({again: meta});
--- /dev/null
+++ b/node/peers/test/transit-meter.test.ts
@@ -0,0 +1,21 @@
+import assert from 'node:assert/strict';
+import test from 'node:test';
+import fc from 'fast-check';
+import {TransitMeter} from '../src/transit-meter.js';
+
+test('a message that was held up is seen, whatever the two clocks say', () => {
+	fc.assert(fc.property(fc.integer({min: -1_000_000, max: 1_000_000}), fc.integer({min: 0, max: 5000}), (offsetMs, heldUpMs) => {
+		const meter = new TransitMeter();
+		meter.measureDelay(1000, 1002 + offsetMs);
+		assert.equal(meter.measureDelay(2000, 2002 + offsetMs + heldUpMs), heldUpMs);
+		assert.equal(meter.measureDelay(3000, 3002 + offsetMs), 0);
+	}));
+});
+
+test('clocks that drift apart for a day are not taken for a delay', () => {
+	const meter = new TransitMeter();
+	for (let second = 0; second < 86_400; second++) {
+		const delayMs = meter.measureDelay(second * 1000, (second * 1000) + (second * 0.1));
+		assert.ok(delayMs < 10, `${delayMs} ms after ${second} s`);
+	}
+});
