test: keep the platform's names in platform/ in tests too

Cause: the tests of the gate and of the callers' interface spelled the platform's headers. Change: a stand-in package under platform/ formats and reads these messages for tests.

--- a/node/backend-link/test/backend-gate.test.ts
+++ b/node/backend-link/test/backend-gate.test.ts
@@ -3,6 +3,9 @@
 import {createServer, type Server, type Socket} from 'node:net';
 import test from 'node:test';
 import {SystemClock} from '@buckthornpoint/clock/system-clock.js';
+import {
+	createCallerHeaders, formatAnswer, formatRefusal, readRequestHead,
+} from '@buckthornpoint/fleet-stand-in/stand-in-messages.js';
 import {BackendGate} from '../src/backend-gate.js';
 import type {Outcome, OwnerRequest} from '../src/outcome.js';
 
@@ -17,7 +20,7 @@
 
 function createRequest(requestId: string, opts: Partial<OwnerRequest> = {}): OwnerRequest {
 	return {
-		requestId, method: 'POST', path: '/x', headers: ['Buckthornpoint-Request-Id', requestId], body: Buffer.from('body'), key: 5, service: 'sklad', route: 'r',
+		requestId, method: 'POST', path: '/x', headers: Object.entries(createCallerHeaders(requestId)).flat(), body: Buffer.from('body'), key: 5, service: 'sklad', route: 'r',
 		callerService: 'other', priority: 1, isIdempotent: false, remainingMs: 5000, targetMs: 5000, ...opts,
 	};
 }
@@ -30,7 +33,7 @@
 		socket.on('data', chunk => {
 			const head = chunk.toString('latin1');
 			heads.push(head);
-			answer(socket, /Buckthornpoint-Request-Id: (\S+)/v.exec(head)?.[1] ?? '', heads.length);
+			answer(socket, readRequestHead(head).requestId ?? '', heads.length);
 		});
 	});
 	await new Promise<void>(resolve => {
@@ -66,18 +69,14 @@
 	server.close();
 }
 
-function formatAnswer(requestId: string, body: string, extra = ''): string {
-	return `HTTP/1.1 200 OK\r\nBuckthornpoint-Request-Id: ${requestId}\r\nBuckthornpoint-Server-Seal: s\r\n${extra}Content-Length: ${body.length}\r\n\r\n${body}`;
-}
-
 test('the server gets what the caller sent, the target, the caller\'s service and what is left of the time', async () => {
 	const fixture = await openFixture((socket, id) => socket.write(formatAnswer(id, 'ok')));
 	const outcome = await run(fixture, createRequest('a'));
 	assert.equal(outcome.kind === 'answer' ? Buffer.from(outcome.body).toString() : outcome.reason, 'ok');
 	assert.match(fixture.heads[0] ?? '', /^POST \/x HTTP\/1\.1\r\n/v);
-	assert.match(fixture.heads[0] ?? '', /Target-Instance: i-1\r\n/v);
-	assert.match(fixture.heads[0] ?? '', /Caller-Service: other\r\n/v);
-	assert.ok(Number(/Deadline-Ms: (\d+)/v.exec(fixture.heads[0] ?? '')?.[1]) <= 5000);
+	const {backendId, callerService, deadlineMs} = readRequestHead(fixture.heads[0] ?? '');
+	assert.deepEqual([backendId, callerService], ['i-1', 'other']);
+	assert.ok(deadlineMs > 0 && deadlineMs <= 5000);
 	assert.ok((fixture.heads[0] ?? '').endsWith('\r\n\r\nbody'));
 	close(fixture);
 });
@@ -94,11 +93,11 @@
 
 test('only the server\'s word proves that a request was not run', async () => {
 	const answers: readonly Answer[] = [
-		(socket, id) => socket.write(`HTTP/1.1 503 x\r\nBuckthornpoint-Request-Id: ${id}\r\nBuckthornpoint-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n`),
+		(socket, id) => socket.write(formatRefusal(id)),
 		socket => socket.write('HTTP/1.1 421 x\r\nContent-Length: 0\r\n\r\n'),
 		socket => socket.destroy(),
-		(socket, id) => socket.write(formatAnswer(id, 'x').replace('Buckthornpoint-Server-Seal: s\r\n', '')),
-		(socket, id) => socket.write(formatAnswer(id, 'x', 'Content-Encoding: gzip\r\n')),
+		(socket, id) => socket.write(formatAnswer(id, 'x', {isSealed: false})),
+		(socket, id) => socket.write(formatAnswer(id, 'x', {headers: 'Content-Encoding: gzip\r\n'})),
 		socket => socket.write('nonsense'),
 		(socket, id) => socket.end(formatAnswer(id, 'long body').slice(0, -4)),
 	];
@@ -114,7 +113,7 @@
 });
 
 test('an answer without a length is marked, since nobody can tell whether it was cut off', async () => {
-	const fixture = await openFixture((socket, id) => socket.end(`HTTP/1.1 200 OK\r\nBuckthornpoint-Request-Id: ${id}\r\nBuckthornpoint-Server-Seal: s\r\n\r\nhalf`));
+	const fixture = await openFixture((socket, id) => socket.end(formatAnswer(id, 'half', {isFramed: false})));
 	const outcome = await run(fixture, createRequest('a'));
 	assert.equal(outcome.kind === 'answer' && outcome.isFramed, false);
 	close(fixture);
--- a/node/ingress/test/caller-server.test.ts
+++ b/node/ingress/test/caller-server.test.ts
@@ -4,6 +4,7 @@
 import test from 'node:test';
 import type {Outcome} from '@buckthornpoint/backend-link/outcome.js';
 import {SystemClock} from '@buckthornpoint/clock/system-clock.js';
+import {createCallerHeaders, readAnsweredId} from '@buckthornpoint/fleet-stand-in/stand-in-messages.js';
 import type {RouteTable} from '@buckthornpoint/routes/routes.js';
 import {CallerServer, type FinishedRequest} from '../src/caller-server.js';
 import {FleetView} from '../src/fleet-view.js';
@@ -76,7 +77,7 @@
 		const outgoing = sendRequest({
 			host: '127.0.0.1', port: server.getPort(), method: 'POST', path: opts.path ?? '/x/1', agent: false,
 			headers: {
-				host: 'a.example', 'Buckthornpoint-Request-Id': 'id-1', 'Buckthornpoint-Deadline-Ms': '1500', 'Buckthornpoint-Shard-Key': '77', ...opts.headers,
+				host: 'a.example', ...createCallerHeaders('id-1', {deadlineMs: 1500, key: 77}), ...opts.headers,
 			},
 		}, response => {
 			const chunks: Uint8Array[] = [];
@@ -96,10 +97,10 @@
 
 test('a request is routed with its key, its limits and the service of this VM', async () => {
 	const fixture = await openFixture({
-		kind: 'answer', status: 201, headers: ['X-Seal', 's'], body: Buffer.from('done'), isFramed: true,
+		kind: 'answer', status: 201, headers: ['X-Kept', 's'], body: Buffer.from('done'), isFramed: true,
 	});
 	const answer = await call(fixture);
-	assert.deepEqual([answer.status, answer.headers['x-seal'], answer.headers['content-length'], answer.body], [201, 's', '4', 'done']);
+	assert.deepEqual([answer.status, answer.headers['x-kept'], answer.headers['content-length'], answer.body], [201, 's', '4', 'done']);
 	const [request] = fixture.routed;
 	assert.deepEqual([request?.key, request?.service, request?.callerService, request?.isIdempotent, request?.isDivided], [77, 'sklad', 'own', false, true]);
 	assert.equal(Math.round((request?.endMs ?? 0) - (request?.targetEndMs ?? 0)), 800 - 250);
@@ -123,7 +124,7 @@
 		kind: 'not-run', reason: 'overloaded', retryAfterMs: 120, wasOffered: false,
 	});
 	const refused = await call(refusing);
-	assert.deepEqual([refused.status, refused.headers['retry-after'], refused.headers['buckthornpoint-request-id']], [503, '0.120', 'id-1']);
+	assert.deepEqual([refused.status, refused.headers['retry-after'], readAnsweredId(refused.headers)], [503, '0.120', 'id-1']);
 	refusing.server.close();
 	const statuses: number[] = [];
 	for (const reason of ['timeout', 'connection-lost'] as const) {
@@ -157,7 +158,7 @@
 test('a caller that leaves takes its request back', async () => {
 	const fixture = await openFixture(undefined);
 	const outgoing = sendRequest({
-		host: '127.0.0.1', port: fixture.server.getPort(), path: '/x/1', headers: {host: 'a.example', 'Buckthornpoint-Request-Id': 'id-2'},
+		host: '127.0.0.1', port: fixture.server.getPort(), path: '/x/1', headers: {host: 'a.example', ...createCallerHeaders('id-2')},
 	});
 	outgoing.on('error', () => undefined);
 	outgoing.end();
