--- /dev/null
+++ b/core/key-ranges/test/range-controller.test.ts
@@ -0,0 +1,99 @@
+import assert from 'node:assert/strict';
+import test from 'node:test';
+import {mergeRanges, type GrantedRange} from '../src/key-ranges.js';
+import type {BackendReport, MemberHeartbeat} from '../src/messages.js';
+import {RangeController} from '../src/range-controller.js';
+
+const times = {
+	leaseMs: 5000, silentMs: 1600, backendSilentMs: 2700, gatherMs: 1000, forgetMs: 10_000,
+};
+const rules = {dividedServices: new Set(['s']), evacuatedDomains: new Set<string>()};
+const unlimitedMs = 60_000;
+
+function createController(earlierLeasesEndMs = 0): RangeController {
+	return new RangeController({
+		epoch: 1, maps: [], startMs: 0, earlierLeasesEndMs,
+	}, times);
+}
+
+function createHeartbeat(vmId: string, opts: Partial<BackendReport> & {readonly incarnation?: string; readonly ended?: readonly string[]} = {}): MemberHeartbeat {
+	const {incarnation = 'run-1', ended = [], ...backend} = opts;
+	return {
+		vmId, incarnation, address: vmId, failureDomain: 'a', service: 's', epoch: 1, isStopping: false,
+		routesVersion: 0, ordersVersion: 0, directoryVersion: '', mapVersions: {}, ended,
+		backend: {
+			key: `${vmId}/1`, id: vmId, service: 's', state: 'ready', slots: 18, isCold: false, silentMs: 0, demand: 0.1, rangeLoads: [], assignmentVersion: '', stillHeld: [], released: [], ...backend,
+		},
+	};
+}
+
+function write(controller: RangeController, nowMs: number): void {
+	for (const map of controller.planMaps(rules, nowMs)) {
+		controller.noteWritten(map);
+	}
+}
+
+function start(vmIds: readonly string[]): RangeController {
+	const controller = createController();
+	for (const vmId of vmIds) {
+		controller.handleHeartbeat(createHeartbeat(vmId), 0, unlimitedMs);
+	}
+
+	write(controller, 1000);
+	return controller;
+}
+
+function listGranted(controller: RangeController, vmId: string, nowMs: number): readonly GrantedRange[] {
+	return controller.handleHeartbeat(createHeartbeat(vmId), nowMs, unlimitedMs).assignment ?? [];
+}
+
+test('the first map deals neighbouring keys to different servers, and all keys to somebody', () => {
+	const controller = start(['a', 'b']);
+	const granted = ['a', 'b'].map(vmId => listGranted(controller, vmId, 1000));
+	assert.deepEqual(mergeRanges(granted.flat()), [{from: 0, to: 65_535}]);
+	assert.ok(granted.every(ranges => ranges.length > 50));
+});
+
+test('a run of a node that another run of its VM followed gets no lease', () => {
+	const controller = start(['a', 'b']);
+	controller.handleHeartbeat(createHeartbeat('a', {incarnation: 'run-2'}), 1100, unlimitedMs);
+	const late = controller.handleHeartbeat(createHeartbeat('a', {incarnation: 'run-1'}), 1200, unlimitedMs);
+	assert.equal(late.leaseMs, 0);
+	assert.equal(late.assignment, undefined);
+});
+
+test('the keys of a server that fell silent go to others when its lease has ended, with higher fences', () => {
+	const controller = start(['a', 'b']);
+	const before = listGranted(controller, 'a', 2000);
+	controller.handleHeartbeat(createHeartbeat('b'), 6990, unlimitedMs);
+	assert.deepEqual(controller.planMaps(rules, 6999), []);
+	controller.handleHeartbeat(createHeartbeat('b'), 7000, unlimitedMs);
+	write(controller, 7000);
+	const after = listGranted(controller, 'b', 7000);
+	assert.deepEqual(mergeRanges(after), [{from: 0, to: 65_535}]);
+	assert.ok(before.every(({from, fence}) => after.some(range => range.from <= from && from <= range.to && range.fence > fence)));
+});
+
+test('leases that earlier controllers gave are waited for where an owner is not heard', () => {
+	const [map] = start(['a', 'b']).planMaps(rules, 0);
+	assert.equal(map, undefined);
+	const first = createController();
+	first.handleHeartbeat(createHeartbeat('a'), 0, unlimitedMs);
+	const maps = first.planMaps(rules, 1000);
+	const next = new RangeController({
+		epoch: 2, maps, startMs: 0, earlierLeasesEndMs: 20_000,
+	}, times);
+	next.handleHeartbeat(createHeartbeat('b'), 19_990, unlimitedMs);
+	assert.deepEqual(next.planMaps(rules, 19_999), []);
+	assert.equal(next.planMaps(rules, 20_000).length, 1);
+});
+
+test('a later run on the VM of an owner, or word that nobody listens there, frees its keys at once', () => {
+	for (const heartbeat of [createHeartbeat('a', {key: 'a/2'}), createHeartbeat('c', {ended: ['a/1']})]) {
+		const controller = start(['a', 'b']);
+		assert.deepEqual(controller.planMaps(rules, 1100), []);
+		controller.handleHeartbeat(createHeartbeat('b'), 1100, unlimitedMs);
+		controller.handleHeartbeat(heartbeat, 1100, unlimitedMs);
+		assert.equal(controller.planMaps(rules, 1100).length, 1);
+	}
+});
