--- /dev/null
+++ b/node/cell-link/test/routes-task.test.ts
@@ -0,0 +1,133 @@
+import assert from 'node:assert/strict';
+import test from 'node:test';
+import {setImmediate} from 'node:timers/promises';
+import {ManualClock} from '@buckthornpoint/clock/manual-clock.js';
+import {SeededRandom} from '@buckthornpoint/clock/seeded-random.js';
+import {BuckthornpointError} from '@buckthornpoint/errors/errors.js';
+import {
+	FleetStore, type Changes, type Committed, type Snapshot, type WatchOpts,
+} from '@buckthornpoint/fleet/fleet-store.js';
+import type {StoreFailure} from '@buckthornpoint/table-store/table-store.js';
+import {
+	err, ok, ResultAsync, type Result,
+} from 'neverthrow';
+import {RoutesTask, type OperatorChange} from '../src/routes-task.js';
+
+type Answer<T> = (result: Result<T, StoreFailure>) => void;
+
+/** A store whose answers the test gives by hand. */
+class ScriptedStore extends FleetStore {
+	readonly reads: Array<Answer<Snapshot>> = [];
+	readonly watches: Array<{readonly after: number; readonly answer: Answer<Changes>}> = [];
+
+	override readTable(): ResultAsync<Snapshot, StoreFailure> {
+		return new ResultAsync(new Promise(resolve => {
+			this.reads.push(resolve);
+		}));
+	}
+
+	override watchTable(_table: string, after: number, {signal}: WatchOpts): ResultAsync<Changes, StoreFailure> {
+		return new ResultAsync(new Promise(resolve => {
+			this.watches.push({after, answer: resolve});
+			signal?.addEventListener('abort', () => {
+				resolve(err(failure));
+			});
+		}));
+	}
+
+	override commit(): ResultAsync<Committed, StoreFailure> {
+		throw new Error('nothing is written here');
+	}
+
+	override async close(): Promise<void> {
+		// Nothing is held.
+	}
+}
+
+const failure: StoreFailure = {kind: 'unavailable', error: new BuckthornpointError('ERR_STORE_UNAVAILABLE', 'away')};
+
+function createSnapshot(version: number, rows: ReadonlyArray<readonly [key: string, value: string | undefined, version: number]>): Snapshot {
+	return {
+		version, nowMs: 0, rows: rows.map(([key, value, rowVersion]) => ({
+			table: 'op', key, value, version: rowVersion,
+		})),
+	};
+}
+
+function openTask(): {readonly store: ScriptedStore; readonly clock: ManualClock; readonly task: RoutesTask; readonly changes: OperatorChange[]} {
+	const store = new ScriptedStore();
+	const clock = new ManualClock();
+	const changes: OperatorChange[] = [];
+	const task = new RoutesTask({
+		store, clock, random: new SeededRandom(1), onChange(change) {
+			changes.push(change);
+		},
+	});
+	void task.run();
+	return {
+		store, clock, task, changes,
+	};
+}
+
+function listEvacuations(changes: readonly OperatorChange[]): ReadonlyArray<readonly [string, boolean]> {
+	return changes.flatMap(change => change.kind === 'evacuation' ? [[change.domain, change.isEvacuated] as const] : []);
+}
+
+test('rows are taken once, in the order of their versions, and an older row undoes nothing', async () => {
+	const {store, task, changes} = openTask();
+	store.reads[0]?.(ok(createSnapshot(5, [['evacuate/a', '{}', 4]])));
+	await setImmediate();
+	store.watches[0]?.answer(ok({kind: 'changed', snapshot: createSnapshot(7, [['evacuate/a', undefined, 3], ['evacuate/b', '{}', 7]])}));
+	await setImmediate();
+	assert.deepEqual(listEvacuations(changes), [['a', true], ['b', true]]);
+	assert.equal(store.watches[1]?.after, 7);
+	task.close();
+});
+
+test('after a lost history everything is read again, and what is gone counts as removed', async () => {
+	const {store, task, changes} = openTask();
+	store.reads[0]?.(ok(createSnapshot(5, [['evacuate/a', '{}', 4]])));
+	await setImmediate();
+	store.watches[0]?.answer(ok({kind: 'history-lost'}));
+	await setImmediate();
+	store.reads[1]?.(ok(createSnapshot(9, [])));
+	await setImmediate();
+	assert.deepEqual(listEvacuations(changes), [['a', true], ['a', false]]);
+	task.close();
+});
+
+test('a watch that may hang on a dead connection is begun anew when the store is back', async () => {
+	const {store, task, changes} = openTask();
+	store.reads[0]?.(ok(createSnapshot(5, [])));
+	await setImmediate();
+	task.refresh();
+	await setImmediate();
+	assert.deepEqual(store.watches.map(({after}) => after), [5, 5]);
+	assert.equal(changes.some(({kind}) => kind === 'store-failed'), false);
+	task.close();
+});
+
+test('a failure is told once, and the store is asked again after a pause', async () => {
+	const {store, clock, task, changes} = openTask();
+	store.reads[0]?.(err(failure));
+	await setImmediate();
+	assert.equal(store.reads.length, 1);
+	clock.advance(400);
+	await setImmediate();
+	store.reads[1]?.(err(failure));
+	await setImmediate();
+	clock.advance(400);
+	await setImmediate();
+	store.reads[2]?.(ok(createSnapshot(1, [])));
+	await setImmediate();
+	assert.deepEqual(changes.map(({kind}) => kind), ['store-failed', 'store-regained', 'caught-up']);
+	task.close();
+});
+
+test('a configuration that can not be read is told, and changes nothing', async () => {
+	const {store, task, changes} = openTask();
+	store.reads[0]?.(ok(createSnapshot(2, [['config', '{"version":"r1"', 1]])));
+	await setImmediate();
+	assert.deepEqual(changes.map(({kind}) => kind), ['invalid', 'caught-up']);
+	task.close();
+});
