fix: believe no late heartbeat after a restart of the node

By reading, three were found, all open only after a restart, when the node has no memory: a first heartbeat that was under way since before the last grant lacks ranges that the server holds; a heartbeat of an earlier run, or one without its moment of birth, counted as a later run and so as proof that the real one is gone; two refused connections counted as proof too, though a server refuses some when it is short of connections. Ruled out: leases (the owner's ran for three more seconds) and the order of the maps (fences 17, 19).

--- a/core/key-ranges/src/key-ranges.ts
+++ b/core/key-ranges/src/key-ranges.ts
@@ -26,6 +26,15 @@
 	return `${id}/${bornMs}`;
 }
 
+/** Tells whether one run on a VM began after another. Where that is not known, it did not. */
+export function isLaterRun(key: BackendKey, earlier: BackendKey): boolean {
+	return readBornMs(key) > readBornMs(earlier);
+}
+
+function readBornMs(key: BackendKey): number {
+	return Number(key.slice(key.lastIndexOf('/') + 1));
+}
+
 /** Tells whether two ranges share a key. */
 export function hasOverlap(left: KeyRange, right: KeyRange): boolean {
 	return left.from <= right.to && right.from <= left.to;
--- a/core/key-ranges/src/range-controller.ts
+++ b/core/key-ranges/src/range-controller.ts
@@ -3,7 +3,7 @@
 } from './controller-state.js';
 import {HandoverTable} from './handover-table.js';
 import {
-	hasOverlap, removeCovered, type BackendKey, type GrantedRange, type KeyRange,
+	hasOverlap, isLaterRun, removeCovered, type BackendKey, type GrantedRange, type KeyRange,
 } from './key-ranges.js';
 import {judgeBackend, type ServiceRules, type SilenceOpts} from './judge-backend.js';
 import type {BackendReport, HeartbeatReply, MemberHeartbeat} from './messages.js';
@@ -157,7 +157,7 @@
 	#listEarlierRuns({vmId, backend}: MemberHeartbeat): readonly BackendKey[] {
 		return backend === undefined
 			? []
-			: [...this.#maps.values()].flatMap(({vmOfOwner}) => [...vmOfOwner].filter(([owner, ownerVm]) => ownerVm === vmId && owner !== backend.key).map(([owner]) => owner));
+			: [...this.#maps.values()].flatMap(({vmOfOwner}) => [...vmOfOwner].filter(([owner, ownerVm]) => ownerVm === vmId && isLaterRun(backend.key, owner)).map(([owner]) => owner));
 	}
 
 	#noteBackend(heartbeat: MemberHeartbeat, backend: BackendReport, {nowMs, leaseEndMs}: {readonly nowMs: number; readonly leaseEndMs: number}): void {
--- a/core/key-ranges/src/range-member.ts
+++ b/core/key-ranges/src/range-member.ts
@@ -1,5 +1,5 @@
 import {
-	findByKey, hasOverlap, mergeGrants, mergeRanges, removeCovered, type BackendKey, type GrantedRange, type KeyRange, type ReleasedRange,
+	findByKey, hasOverlap, keyCount, mergeGrants, mergeRanges, removeCovered, type BackendKey, type GrantedRange, type KeyRange, type ReleasedRange,
 } from './key-ranges.js';
 import type {HeartbeatReply} from './messages.js';
 
@@ -34,6 +34,8 @@
  */
 export class RangeMember {
 	readonly #opts: RangeMemberOpts;
+	/** Until then grants of an earlier process may be in force; a late heartbeat of the server may not name them. */
+	readonly #unknownUntilMs: number;
 	#epoch = 0;
 	#backend: BackendKey | undefined;
 	#assignment: readonly GrantedRange[] = [];
@@ -44,8 +46,10 @@
 	#holdEndMs = Number.NEGATIVE_INFINITY;
 	#released: readonly ReleasedRange[] = [];
 
-	constructor(opts: RangeMemberOpts) {
+	/** `startMs` is when the process started: before it another process may have granted what this one does not know of. */
+	constructor(opts: RangeMemberOpts, startMs: number) {
 		this.#opts = opts;
+		this.#unknownUntilMs = startMs + (opts.holdMs * (1 + clockDrift));
 	}
 
 	get epoch(): number {
@@ -128,6 +132,10 @@
 
 	/** Lists the ranges outside the assignment that the backend server may still hold. */
 	listStillHeld(nowMs: number): readonly KeyRange[] {
+		if (nowMs < this.#unknownUntilMs) {
+			return removeCovered([{from: 0, to: keyCount - 1}], this.#assignment);
+		}
+
 		if (nowMs >= this.#holdEndMs && this.#holdEndMs > Number.NEGATIVE_INFINITY) {
 			return [];
 		}
--- a/core/key-ranges/src/vm-table.ts
+++ b/core/key-ranges/src/vm-table.ts
@@ -1,5 +1,5 @@
 import type {VmState} from './controller-state.js';
-import type {BackendKey} from './key-ranges.js';
+import {isLaterRun, type BackendKey} from './key-ranges.js';
 import type {DirectoryEntry, MemberHeartbeat} from './messages.js';
 
 /** The VMs that a controller heard of, and the runs of backend servers that are proved to be over. */
@@ -38,7 +38,7 @@
 		const {backend} = heartbeat;
 		const ended = [...heartbeat.ended];
 		if (backend !== undefined) {
-			if (known?.backend !== undefined && known.backend.key !== backend.key) {
+			if (known?.backend !== undefined && isLaterRun(backend.key, known.backend.key)) {
 				ended.push(known.backend.key);
 			}
 
--- a/core/key-ranges/test/range-controller.test.ts
+++ b/core/key-ranges/test/range-controller.test.ts
@@ -98,3 +98,14 @@
 		assert.equal(controller.planMaps(rules, 1100).length, 1);
 	}
 });
+
+test('a report of an earlier run on the VM of an owner, as after a late heartbeat, proves nothing', () => {
+	const controller = createController();
+	controller.handleHeartbeat(createHeartbeat('a', {key: 'a/5'}), 0, unlimitedMs);
+	write(controller, 1000);
+	controller.handleHeartbeat(createHeartbeat('b'), 1100, unlimitedMs);
+	for (const key of ['a/4', 'a/0']) {
+		controller.handleHeartbeat(createHeartbeat('a', {key, incarnation: 'run-2'}), 1100, unlimitedMs);
+		assert.deepEqual(controller.planMaps(rules, 1100), [], key);
+	}
+});
--- /dev/null
+++ b/core/key-ranges/test/range-member.test.ts
@@ -0,0 +1,61 @@
+import assert from 'node:assert/strict';
+import test from 'node:test';
+import type {GrantedRange} from '../src/key-ranges.js';
+import type {HeartbeatReply} from '../src/messages.js';
+import {RangeMember} from '../src/range-member.js';
+
+const holdMs = 4000;
+const key = 'i/1';
+const all: GrantedRange = {from: 0, to: 65_535, fence: 1};
+const low: GrantedRange = {from: 0, to: 99, fence: 1};
+
+function createReply(assignment: readonly GrantedRange[], assignmentVersion: string, leaseMs = 10_000): HeartbeatReply {
+	return {
+		epoch: 1, leaseMs, assignmentVersion, assignment, directoryVersion: '', isDirectoryComplete: true, isStoreReached: true,
+	};
+}
+
+/** A member whose process has run for long. */
+function createMember(): RangeMember {
+	const member = new RangeMember({holdMs}, -60_000);
+	member.setBackend(key);
+	return member;
+}
+
+test('nothing is granted without a lease, and no grant outlasts the lease', () => {
+	const member = createMember();
+	assert.equal(member.grant({key, holds: [], released: []}, 0), undefined);
+	member.applyReply(createReply([low], '1.1', 2000), 0, key);
+	const grant = member.grant({key, holds: [], released: []}, 500);
+	assert.ok(grant !== undefined && 500 + (grant.holdMs * 1.04) <= 2000);
+	assert.equal(member.grant({key, holds: [], released: []}, 1900), undefined);
+});
+
+test('a range that was taken from the assignment is held until the server says otherwise or its grant ends', () => {
+	const member = createMember();
+	member.applyReply(createReply([all], '1.1'), 0, key);
+	member.grant({key, holds: [], released: []}, 0);
+	member.applyReply(createReply([low], '1.2'), 10, key);
+	assert.deepEqual(member.listStillHeld(20), [{from: 100, to: 65_535}]);
+	member.grant({key, holds: [{from: 0, to: 99}], released: []}, 30);
+	assert.deepEqual(member.listStillHeld(40), []);
+});
+
+test('a process that just started knows nothing of what the one before it granted, whatever the first heartbeat says', () => {
+	const member = new RangeMember({holdMs}, 0);
+	member.setBackend(key);
+	// This heartbeat was under way since before the last grant of the earlier process.
+	member.grant({key, holds: [], released: []}, 100);
+	member.applyReply(createReply([low], '1.1'), 200, key);
+	assert.deepEqual(member.listStillHeld(300), [{from: 100, to: 65_535}]);
+	member.grant({key, holds: [{from: 0, to: 99}], released: []}, 400);
+	assert.deepEqual(member.listStillHeld(500), [{from: 100, to: 65_535}]);
+	assert.deepEqual(member.listStillHeld(holdMs * 1.04), []);
+});
+
+test('an answer of an earlier controller changes nothing', () => {
+	const member = createMember();
+	member.applyReply({...createReply([low], '2.1'), epoch: 2}, 0, key);
+	assert.equal(member.applyReply(createReply([all], '1.9'), 10, key), false);
+	assert.deepEqual(member.listAssigned(), [low]);
+});
--- a/node/backend-link/src/backend-gate.ts
+++ b/node/backend-link/src/backend-gate.ts
@@ -40,6 +40,10 @@
 /** When to come back to a server that is silent or refuses connections, in milliseconds: others are told within this time. */
 const retryMs = 200;
 
+/** Refused connections, and the time in milliseconds over which they came without a sign of life, that prove that nobody listens. */
+const minRefusals = 3;
+const minRefusedMs = 250;
+
 /** Weight of the newest answer in the share of failures. */
 const failureWeight = 0.08;
 
@@ -56,6 +60,7 @@
 	readonly #silence = new SilenceWatch();
 	#slowness = new Slowness();
 	#refusals = 0;
+	#refusedSinceMs = 0;
 
 	constructor(opts: BackendGateOpts) {
 		this.#opts = opts;
@@ -233,12 +238,18 @@
 		}
 	}
 
+	/** A server that is short of connections may refuse some for a moment; one that is gone refuses all. */
 	#noteRefused(isRefused: boolean): void {
-		if (isRefused) {
-			this.#refusals++;
-			if (this.#refusals === 2) {
-				this.#opts.onRefused();
-			}
+		if (!isRefused) {
+			return;
+		}
+
+		const nowMs = this.#readNowMs();
+		this.#refusedSinceMs = this.#refusals === 0 ? nowMs : this.#refusedSinceMs;
+		this.#refusals++;
+		if (this.#refusals >= minRefusals && nowMs - this.#refusedSinceMs >= minRefusedMs) {
+			this.#refusals = 0;
+			this.#opts.onRefused();
 		}
 	}
 
--- a/node/mesh-daemon/src/backend-watch.ts
+++ b/node/mesh-daemon/src/backend-watch.ts
@@ -32,7 +32,7 @@
 
 	constructor(opts: BackendWatchOpts) {
 		this.#opts = opts;
-		this.member = new RangeMember({holdMs: opts.times.holdMs});
+		this.member = new RangeMember({holdMs: opts.times.holdMs}, opts.lapseClock.readNowMs());
 		this.#registration = new BackendRegistration({
 			address: opts.settings.backendServer,
 			isKnownService: service => service === opts.settings.service || opts.view.table?.services.has(service) === true,
