test: let a cell end its schedule within a planned move

Cause: ended with "1 partitions are not served". Its trace shows that the controller moves one partition back every 2 s after the outage, and that the check at 23.00 s fell 10 ms after the move of 22.99 s had begun. A hand-over without service for up to 500 ms is allowed (recovery.test.ts asserts it).

Ruled out: moves that never settle. With 120 s instead of 10 s after the faults the trace has the same 19 moves, the last one at 22.99 s.

Change: a partition counts as not served if nobody serves it for a whole planned hand-over.

--- a/core/ownership/test/cells.ts
+++ b/core/ownership/test/cells.ts
@@ -5,6 +5,9 @@
 const defaultPartitionCount = 8;
 const gapStepMs = 10;
 
+/** A planned hand-over leaves a partition unserved for at most this long (recovery.test.ts asserts it), in milliseconds. */
+const plannedMoveMs = 500;
+
 /** Creates a configuration with one divided service. */
 export function createConfiguration(partitionCount = defaultPartitionCount): Configuration {
 	return {
@@ -25,6 +28,21 @@
 	return partitions.filter(partition => ![...cell.runs.values()].some(node => node.isAlive && !node.isPaused && node.findGrantInForce(partition, cell.nowMs) !== undefined));
 }
 
+/**
+ * Lists the partitions that nobody serves now and for a whole planned hand-over from now. The cell may just be moving
+ * a partition back at the end: seed 703761 ends 10 ms after such a move began (trace: partitions-moved at 22.99 s).
+ */
+export function findUnservedForLong(cell: SimulatedCell): readonly PartitionId[] {
+	let unserved = findUnserved(cell);
+	for (let waitedMs = 0; waitedMs < plannedMoveMs && unserved.length > 0; waitedMs += gapStepMs) {
+		cell.advance(gapStepMs);
+		const now = new Set(findUnserved(cell).map(({partition}) => partition));
+		unserved = unserved.filter(({partition}) => now.has(partition));
+	}
+
+	return unserved;
+}
+
 /** Starts nodes over three failure domains. */
 export function startCell(cell: SimulatedCell, size: number): void {
 	for (let index = 0; index < size; index++) {
