perf: move keys to faster servers before a server is full

Cause: backend servers of a service differ in speed by more than twice, and each takes three times as long for a fifth of the time. Keys were moved only from a server offered over 0.75 of its slots, measured by a service time over some twenty answers: a slow server with equal keys stood at 0.62, had no room for a slow spell, and refused; and a spell on a busy one moved keys for nothing.

Change: the demand that keys are moved by rests on the time of some 400 answers; relief begins at 0.4 of the slots and a difference of 0.15, and 2 s after the last move.

--- a/core/key-ranges/src/controller-state.ts
+++ b/core/key-ranges/src/controller-state.ts
@@ -26,6 +26,8 @@
 	readonly map: RangeMap;
 	readonly backends: readonly BackendView[];
 	readonly moves: readonly PlannedMove[];
+	/** When the last move ended; what is known of the load shows a move only some time after it. */
+	readonly settledMs: number;
 };
 
 /** A backend server as the plan sees it. */
--- a/core/key-ranges/src/plan-moves.ts
+++ b/core/key-ranges/src/plan-moves.ts
@@ -5,11 +5,17 @@
 /** The most moves of one service under way; each costs its keys up to one heartbeat of service. */
 const maxMoves = 12;
 
-/** Moves for load begin when the busiest server is offered more than this share of its slots. */
-const busyDemand = 0.75;
+/**
+ * Moves for load begin when the busiest server is offered more than this share of its slots. Servers differ in speed,
+ * and each turns several times slower for moments: one that is half full has no room for such a moment.
+ */
+const busyDemand = 0.4;
 
 /** And when it is this much busier than the least busy one, as a share of slots. */
-const minDifference = 0.25;
+const minDifference = 0.15;
+
+/** After a move, load is looked at again when the counts show its effect: four spans of half a second, in milliseconds. */
+const settleMs = 2000;
 
 /** A newcomer gets keys until it has this part of a fair share. */
 const newcomerPart = 0.6;
@@ -53,7 +59,7 @@
 	}
 
 	const newcomers = planNewcomer(view, nowMs);
-	return newcomers.length > 0 ? newcomers : planRelief(view, nowMs);
+	return newcomers.length > 0 || nowMs - view.settledMs < settleMs ? newcomers : planRelief(view, nowMs);
 }
 
 function rankTarget({key, demand, slots}: BackendView, keys: ReadonlyMap<string, number>): number {
@@ -119,7 +125,7 @@
 	return moves;
 }
 
-/** Takes the busiest ranges from the busiest server: they relieve most for the fewest keys. */
+/** Relieves the busiest server, one at a time: each key that moves is without service until its new owner's next heartbeat. */
 function planRelief(view: ServiceView, nowMs: number): readonly PlannedMove[] {
 	const targets = view.backends.filter(({isEligible, isCold}) => isEligible && !isCold);
 	if (targets.length < 2) {
@@ -128,28 +134,30 @@
 
 	const busiest = findLowest(targets, ({demand}) => -demand);
 	const idlest = findLowest(targets, ({demand}) => demand);
-	const difference = busiest.demand - idlest.demand;
-	if (busiest.demand < busyDemand || difference < minDifference) {
+	if (busiest.demand < busyDemand || busiest.demand - idlest.demand < minDifference) {
 		return [];
 	}
 
-	const total = busiest.rangeLoads.reduce((sum, {perS}) => sum + perS, 0);
-	const wanted = total * difference / 2 / busiest.demand;
-	const moves: PlannedMove[] = [];
+	return chooseRanges(busiest, idlest).map(({from, to}) => ({
+		service: view.map.service, from, to, owner: busiest.key, target: idlest.key, sinceMs: nowMs,
+	}));
+}
+
+/** Chooses the busiest ranges of a server that together make up half of the difference: they relieve most for the fewest keys. */
+function chooseRanges(busy: BackendView, idle: BackendView): readonly KeyRange[] {
+	const total = busy.rangeLoads.reduce((sum, {perS}) => sum + perS, 0);
+	const wanted = total * (busy.demand - idle.demand) / 2 / busy.demand;
+	const chosen: KeyRange[] = [];
 	let moved = 0;
-	for (const load of busiest.rangeLoads.toSorted((left, right) => right.perS - left.perS)) {
+	for (const load of busy.rangeLoads.toSorted((left, right) => right.perS - left.perS)) {
 		const part = choosePart(load, wanted - moved);
-		if (part === undefined || moves.length >= maxMoves || load.perS < total * minLoadShare) {
-			continue;
+		if (part !== undefined && chosen.length < maxMoves && load.perS >= total * minLoadShare) {
+			moved += part.perS;
+			chosen.push(part);
 		}
-
-		moved += part.perS;
-		moves.push({
-			service: view.map.service, from: part.from, to: part.to, owner: busiest.key, target: idlest.key, sinceMs: nowMs,
-		});
 	}
 
-	return moves;
+	return chosen;
 }
 
 /** Takes the whole range where it fits, half of it where only that fits. */
--- a/core/key-ranges/src/range-controller.ts
+++ b/core/key-ranges/src/range-controller.ts
@@ -53,6 +53,8 @@
 	readonly #earlierLeasesEndMs: number;
 	readonly #startMs: number;
 	#moves: readonly PlannedMove[] = [];
+	/** When a move of a service was last under way. */
+	readonly #movedMs = new Map<string, number>();
 	#counter = 0;
 
 	constructor(start: ControllerStart, opts: RangeControllerOpts) {
@@ -104,6 +106,10 @@
 	/** Begins moves of ranges that their owners still hold, and returns them: their owners have to be told. */
 	planMoves(rules: ServiceRules, nowMs: number): readonly PlannedMove[] {
 		this.#expireMoves(rules, nowMs);
+		for (const {service} of this.#moves) {
+			this.#movedMs.set(service, nowMs);
+		}
+
 		const planned = [...this.#maps.values()].flatMap(map => planMoves(this.#createView(map, rules, nowMs), nowMs));
 		for (const {owner} of planned) {
 			this.#updateAssignment(owner);
@@ -249,7 +255,10 @@
 
 	#createView(map: RangeMap, rules: ServiceRules, nowMs: number): ServiceView {
 		return {
-			map, backends: this.#listBackends(map.service, rules, nowMs), moves: this.#moves.filter(({service}) => service === map.service),
+			map,
+			backends: this.#listBackends(map.service, rules, nowMs),
+			moves: this.#moves.filter(({service}) => service === map.service),
+			settledMs: this.#movedMs.get(map.service) ?? Number.NEGATIVE_INFINITY,
 		};
 	}
 
--- a/node/backend-link/src/backend-gate.ts
+++ b/node/backend-link/src/backend-gate.ts
@@ -14,6 +14,7 @@
 } from './outcome.js';
 import {SilenceWatch} from './silence-watch.js';
 import {Slowness} from './slowness.js';
+import {UsualTime} from './usual-time.js';
 
 /** What a gate needs. */
 export type BackendGateOpts = {
@@ -59,6 +60,7 @@
 	#failureShare = 0;
 	readonly #silence = new SilenceWatch();
 	#slowness = new Slowness();
+	#usualTime = new UsualTime();
 	#refusals = 0;
 	#refusedSinceMs = 0;
 
@@ -75,6 +77,7 @@
 			this.#failureShare = 0;
 			this.#silence.noteAlive();
 			this.#slowness = new Slowness();
+			this.#usualTime = new UsualTime();
 			this.#refusals = 0;
 			this.#queue.refuseWaiting('closed');
 		}
@@ -146,8 +149,8 @@
 
 	/** Work offered as a share of the slots; a server that fails requests counts as fuller than it is. */
 	readDemand(): number {
-		const {slots, serviceMs} = this.#queue.readLoad();
-		return (this.#meter.perS * serviceMs / 1000 / Math.max(1, slots)) + this.#failureShare;
+		const {slots} = this.#queue.readLoad();
+		return (this.#meter.perS * this.#usualTime.readMs() / 1000 / Math.max(1, slots)) + this.#failureShare;
 	}
 
 	listRangeLoads(ranges: readonly KeyRange[]): readonly RangeLoad[] {
@@ -195,9 +198,9 @@
 		}, request.requestId, exchange => {
 			timer.close();
 			const outcome = isCancelled ? {kind: 'unknown', reason: 'cancelled'} as const : this.#judgeExchange(exchange, isTimedOut);
-			const isRun = exchange.kind === 'answered' && outcome.kind === 'answer';
-			this.#noteOutcome(outcome, isTimedOut);
-			this.#queue.release(request.route, isRun ? this.#readNowMs() - startMs : undefined, this.#readNowMs());
+			const tookMs = exchange.kind === 'answered' && outcome.kind === 'answer' ? this.#readNowMs() - startMs : undefined;
+			this.#noteOutcome(outcome, {isTimedOut, tookMs});
+			this.#queue.release(request.route, tookMs, this.#readNowMs());
 			finish(outcome);
 		});
 		return () => {
@@ -229,7 +232,11 @@
 		return outcome;
 	}
 
-	#noteOutcome(outcome: Outcome, isTimedOut: boolean): void {
+	#noteOutcome(outcome: Outcome, {isTimedOut, tookMs}: {readonly isTimedOut: boolean; readonly tookMs: number | undefined}): void {
+		if (tookMs !== undefined) {
+			this.#usualTime.note(tookMs);
+		}
+
 		this.#failureShare += ((isServerFailure(outcome) ? 1 : 0) - this.#failureShare) * failureWeight;
 		if (isTimedOut) {
 			this.#silence.noteTimeout();
