fix: keep count of dropped log lines until a line that says so is written

Cause: while the reader of standard output does not read, the line log-omitted is dropped like the others, and its counts were reset with it; at the end of a process it was written into a full buffer.

Change: counts are reset only when the line was taken, and the end of a process waits for the reader for up to 0.3 s, before and after it.

--- a/node/log/src/bounded-json-log.ts
+++ b/node/log/src/bounded-json-log.ts
@@ -27,6 +27,9 @@
 
 const spanMs = 1000;
 
+/** How long the end of a process waits for its reader, in milliseconds: a small part of the time for a planned stop. */
+const maxDrainMs = 300;
+
 /** Prints events as JSON lines on standard output: bounded in rate, never waiting for the reader, and saying what it left out. */
 export class BoundedJsonLog extends Log {
 	readonly #opts: BoundedJsonLogOpts;
@@ -51,14 +54,11 @@
 		this.#sink?.flush();
 	}
 
-	/** Writes what waits at once, at the end of the process. */
-	close(): void {
+	/** Writes what waits, at the end of the process. A reader that does not read is not waited for for long. */
+	async close(): Promise<void> {
+		await this.#drain();
 		this.#closeSpan();
-		try {
-			this.#sink?.flushSync();
-		} catch {
-			// The reader is gone; nobody is left to tell.
-		}
+		await this.#drain();
 	}
 
 	protected override report(event: LogEvent, level: LogLevel): void {
@@ -90,10 +90,36 @@
 			const line = JSON.stringify({
 				time: new Date(wallMs).toISOString(), level: 'warn', vmId: this.#opts.vmId, event: 'log-omitted', omitted, dropped: this.#dropped,
 			});
+			this.#reportOmitted(line);
+		}
+	}
+
+	/** What was left out stays counted until a line that says so finds room. */
+	#reportOmitted(line: string): void {
+		const dropped = this.#dropped;
+		this.#writeLine(`${line}\n`);
+		if (this.#dropped === dropped) {
 			this.#omitted.clear();
 			this.#dropped = 0;
-			this.#writeLine(`${line}\n`);
+		} else {
+			this.#dropped = dropped;
+		}
+	}
+
+	async #drain(): Promise<void> {
+		const sink = this.#sink;
+		if (sink === undefined) {
+			return;
 		}
+
+		await new Promise<void>(resolve => {
+			const timer = this.#opts.clock.startTimer(maxDrainMs, resolve);
+			// Standard output can't be synchronized; that it says so tells nothing of what was written.
+			sink.flush(() => {
+				timer.close();
+				resolve();
+			});
+		});
 	}
 
 	#openSink(): SonicBoom {
--- a/node/log/test/bounded-json-log.test.ts
+++ b/node/log/test/bounded-json-log.test.ts
@@ -36,12 +36,12 @@
 	assert.deepEqual(lines.find(({event}) => event === 'log-omitted')?.omitted, {'announcement-ignored': 980});
 });
 
-test('what was left out is told at the end too', () => {
+test('what was left out is told at the end too', async () => {
 	const {log, lines} = openLog();
 	for (let index = 0; index < 30; index++) {
 		log.write({event: 'announcement-ignored', id: 'i', reason: 'late'});
 	}
 
-	log.close();
+	await log.close();
 	assert.deepEqual(lines.at(-1)?.omitted, {'announcement-ignored': 10});
 });
--- a/node/mesh-daemon/src/main.ts
+++ b/node/mesh-daemon/src/main.ts
@@ -69,6 +69,6 @@
 	await node.stop();
 	log.write({event: 'node-stopped', vmId});
 	node.close();
-	log.close();
+	await log.close();
 	process.exit(exitCodes.ok);
 }
