fix: remember which runs of a server leave over restarts of its node

Nodes were being stopped in turn. A node that starts again knows no runs, and believed any heartbeat that called the server ready: a late one, or one of a server that took its leave without a word of draining. A server that was not reached for a moment was forgotten in the same way.

Change: the registration remembers runs that leave by their key, also those it never knew as its current run; one that is first heard while it leaves counts as leaving for long; the controller keeps what nodes said and tells each process of a VM. Versions of assignments moved to a class of their own.

Tests: seven on the registration, one on the controller.

--- a/core/key-ranges/src/messages.ts
+++ b/core/key-ranges/src/messages.ts
@@ -96,6 +96,8 @@
 	readonly routesDocument?: string;
 	/** The failure domains that the operator empties, where the controller knows later orders than the node. */
 	readonly evacuation?: EvacuationOrders;
+	/** Runs on the node's VM that leave, as the controller was told by any process of the node. */
+	readonly left?: readonly BackendKey[];
 	/** Whether the controller reached the store lately; members look for themselves where it did not. */
 	readonly isStoreReached: boolean;
 };
--- a/core/key-ranges/src/range-controller.ts
+++ b/core/key-ranges/src/range-controller.ts
@@ -1,3 +1,4 @@
+import {AssignmentVersions} from './assignment-versions.js';
 import type {
 	BackendView, PlannedMove, ServiceView, VmState,
 } from './controller-state.js';
@@ -49,16 +50,16 @@
 	readonly #firstSeen = new Map<string, number>();
 	/** Ranges that were planned for a new owner. A write whose answer was lost may still take effect, so the old owner never gets them back. */
 	readonly #withheld = new Map<string, readonly KeyRange[]>();
-	readonly #assignmentVersions = new Map<BackendKey, string>();
+	readonly #assignments: AssignmentVersions;
 	readonly #earlierLeasesEndMs: number;
 	readonly #startMs: number;
 	#moves: readonly PlannedMove[] = [];
 	/** When a move of a service was last under way. */
 	readonly #movedMs = new Map<string, number>();
-	#counter = 0;
 
 	constructor(start: ControllerStart, opts: RangeControllerOpts) {
 		this.epoch = start.epoch;
+		this.#assignments = new AssignmentVersions(start.epoch);
 		this.#opts = opts;
 		this.#earlierLeasesEndMs = start.earlierLeasesEndMs;
 		this.#startMs = start.startMs;
@@ -87,7 +88,8 @@
 			this.#noteBackend(heartbeat, backend, {nowMs, leaseEndMs: nowMs + leaseMs});
 		}
 
-		const assignmentVersion = backend === undefined ? '' : this.#getAssignmentVersion(backend.key);
+		const assignmentVersion = backend === undefined ? '' : this.#assignments.get(backend.key);
+		const left = this.#vms.listLeft(heartbeat.vmId);
 		const isDirectoryComplete = nowMs - this.#startMs >= this.#opts.gatherMs;
 		const directoryVersion = `${this.epoch}.${this.#vms.version}${isDirectoryComplete ? '' : ' partial'}`;
 		return {
@@ -99,6 +101,7 @@
 			isDirectoryComplete,
 			...(heartbeat.directoryVersion !== directoryVersion && {directory: this.#vms.listDirectory()}),
 			...this.#listNewerMaps(heartbeat),
+			...(left.length > 0 && {left}),
 			isStoreReached: true,
 		};
 	}
@@ -112,7 +115,7 @@
 
 		const planned = [...this.#maps.values()].flatMap(map => planMoves(this.#createView(map, rules, nowMs), nowMs));
 		for (const {owner} of planned) {
-			this.#updateAssignment(owner);
+			this.#assignments.update(owner);
 		}
 
 		this.#moves = [...this.#moves, ...planned];
@@ -143,7 +146,7 @@
 		this.#moves = this.#moves.filter(move => move.service !== map.service || !changed.some(segment => hasOverlap(segment, move)));
 		const losers = (earlier?.segments ?? []).filter(({owner}) => owner !== undefined && !owners.has(owner)).filter(segment => changed.some(range => hasOverlap(range, segment)));
 		for (const owner of new Set([...owners, ...losers.flatMap(segment => segment.owner ?? [])])) {
-			this.#updateAssignment(owner);
+			this.#assignments.update(owner);
 		}
 
 		return [...owners];
@@ -189,8 +192,7 @@
 	#planNextMap(map: RangeMap, rules: ServiceRules, nowMs: number): readonly RangeMap[] {
 		const view = this.#createView(map, rules, nowMs);
 		const withheld = this.#withheld.get(map.service) ?? [];
-		const orphans = map.segments.filter(segment => segment.owner === undefined || this.#isOver(segment.owner, nowMs)
-			|| withheld.some(range => range.from === segment.from && range.to === segment.to));
+		const orphans = map.segments.filter(({owner, from, to}) => owner === undefined || this.#isOver(owner, nowMs) || withheld.some(range => range.from === from && range.to === to));
 		const moved = this.#moves.filter(move => move.service === map.service && this.#isGivenUp(move));
 		const eligible = new Map(view.backends.filter(({isEligible}) => isEligible).map(({key, vmId}) => [key, vmId]));
 		const changes: readonly OwnerChange[] = [
@@ -217,7 +219,7 @@
 	#setWithheld(map: RangeMap, orphans: readonly Segment[]): void {
 		this.#withheld.set(map.service, orphans);
 		for (const owner of new Set(orphans.flatMap(segment => segment.owner ?? []))) {
-			this.#updateAssignment(owner);
+			this.#assignments.update(owner);
 		}
 	}
 
@@ -232,8 +234,7 @@
 		}
 
 		const backend = this.findVm(move.owner)?.backend;
-		return backend !== undefined
-			&& backend.assignmentVersion === this.#assignmentVersions.get(move.owner)
+		return backend?.assignmentVersion === this.#assignments.get(move.owner)
 			&& !backend.stillHeld.some(range => hasOverlap(range, move));
 	}
 
@@ -242,7 +243,7 @@
 		const stale = this.#moves.filter(move => nowMs - move.sinceMs > this.#opts.leaseMs
 			&& !this.#mustLeave(move.owner, rules, nowMs) && !this.#isGivenUp(move));
 		for (const {owner} of stale) {
-			this.#updateAssignment(owner);
+			this.#assignments.update(owner);
 		}
 
 		this.#moves = this.#moves.filter(move => !stale.includes(move));
@@ -282,17 +283,6 @@
 			});
 	}
 
-	#getAssignmentVersion(key: BackendKey): string {
-		const version = this.#assignmentVersions.get(key) ?? `${this.epoch}.0`;
-		this.#assignmentVersions.set(key, version);
-		return version;
-	}
-
-	#updateAssignment(key: BackendKey): void {
-		this.#counter++;
-		this.#assignmentVersions.set(key, `${this.epoch}.${this.#counter}`);
-	}
-
 	#listNewerMaps({mapVersions}: MemberHeartbeat): Pick<HeartbeatReply, 'maps'> {
 		const maps = [...this.#maps.values()].filter(map => (mapVersions[map.service] ?? 0) !== map.version);
 		return maps.length === 0 ? {} : {maps: maps.map(map => encodeRangeMap(map))};
--- a/core/key-ranges/test/range-controller.test.ts
+++ b/core/key-ranges/test/range-controller.test.ts
@@ -109,3 +109,12 @@
 		assert.deepEqual(controller.planMaps(rules, 1100), [], key);
 	}
 });
+
+test('a process that is started again is told which runs of its server leave, also while it knows of none', () => {
+	const controller = start(['a', 'b']);
+	controller.handleHeartbeat(createHeartbeat('a', {state: 'draining'}), 2000, unlimitedMs);
+	const {backend: _backend, ...unknowing} = createHeartbeat('a', {incarnation: 'run-2'});
+	assert.deepEqual(controller.handleHeartbeat(unknowing, 3000, unlimitedMs).left, ['a/1']);
+	assert.deepEqual(controller.handleHeartbeat(createHeartbeat('a', {incarnation: 'run-2', state: 'ready'}), 3100, unlimitedMs).left, ['a/1']);
+	assert.equal(controller.handleHeartbeat(createHeartbeat('b'), 3100, unlimitedMs).left, undefined);
+});
--- a/node/backend-link/src/backend-registration.ts
+++ b/node/backend-link/src/backend-registration.ts
@@ -33,14 +33,16 @@
 	readonly isKnownService: (service: string) => boolean;
 };
 
-/** Runs that ended and are remembered, so that late heartbeats of theirs bring nothing back. */
-const maxEnded = 16;
+/** Runs that ended or leave and are remembered, so that late heartbeats of theirs bring nothing back. */
+const maxRemembered = 16;
 
 /** Keeps track of the runs of the backend server beside, from its heartbeats and leave calls. */
 export class BackendRegistration {
 	readonly #opts: RegistrationOpts;
 	#current: RegisteredBackend | undefined;
 	#ended: readonly BackendKey[] = [];
+	/** Runs that leave, with since when. What an earlier process of this node was told counts as long ago. */
+	readonly #leaving = new Map<BackendKey, number>();
 
 	constructor(opts: RegistrationOpts) {
 		this.#opts = opts;
@@ -74,8 +76,12 @@
 		}
 
 		this.#ended = this.#ended.filter(ended => ended !== key);
-		const wasLeaving = !isNewRun && earlier?.leavingSinceMs !== undefined;
-		const state = heartbeat.isDraining || wasLeaving ? 'draining' : 'ready';
+		if (heartbeat.isDraining) {
+			this.#noteLeaving(key, isNewRun ? Number.NEGATIVE_INFINITY : nowMs);
+		}
+
+		const leavingSinceMs = this.#leaving.get(key);
+		const state = leavingSinceMs === undefined ? 'ready' : 'draining';
 		this.#current = {
 			key,
 			id: heartbeat.id,
@@ -84,7 +90,7 @@
 			service: heartbeat.service,
 			slots: heartbeat.slots,
 			state,
-			leavingSinceMs: state === 'ready' ? undefined : (wasLeaving ? earlier.leavingSinceMs : nowMs),
+			leavingSinceMs,
 			coldUntilMs: nowMs + heartbeat.coldMs,
 			heardMs: nowMs,
 			holds: heartbeat.holds,
@@ -97,12 +103,31 @@
 		const current = this.#current;
 		const isCurrent = current?.id === id && (bornMs === 0 || bornMs === current.bornMs);
 		if (isCurrent) {
-			this.#current = {...current, state: 'gone', leavingSinceMs: current.leavingSinceMs ?? nowMs};
+			this.#noteLeaving(current.key, nowMs);
+			this.#current = {...current, state: 'gone', leavingSinceMs: this.#leaving.get(current.key)};
+		} else if (bornMs !== 0) {
+			// An earlier process of this node may have known the run, and a late heartbeat of it may still come.
+			this.#noteLeaving(formatBackendKey(id, bornMs), nowMs);
 		}
 
 		return isCurrent;
 	}
 
+	/** Takes note of runs of which an earlier process of this node was told that they leave. Returns whether the current one is new among them. */
+	noteLeft(keys: readonly BackendKey[]): boolean {
+		for (const key of keys) {
+			this.#noteLeaving(key, Number.NEGATIVE_INFINITY);
+		}
+
+		const current = this.#current;
+		const isNews = current?.state === 'ready' && this.#leaving.has(current.key);
+		if (isNews) {
+			this.#current = {...current, state: 'draining', leavingSinceMs: this.#leaving.get(current.key)};
+		}
+
+		return isNews;
+	}
+
 	/** Takes note that the server stays cold for so long. */
 	noteCold(coldMs: number, nowMs: number): void {
 		if (this.#current !== undefined) {
@@ -151,7 +176,17 @@
 		return this.#ended.includes(key) ? 'this run is over' : undefined;
 	}
 
+	#noteLeaving(key: BackendKey, sinceMs: number): void {
+		if (!this.#leaving.has(key)) {
+			this.#leaving.set(key, sinceMs);
+		}
+
+		for (const oldest of [...this.#leaving.keys()].slice(0, -maxRemembered)) {
+			this.#leaving.delete(oldest);
+		}
+	}
+
 	#noteEnded(key: BackendKey): void {
-		this.#ended = [...this.#ended.filter(ended => ended !== key), key].slice(-maxEnded);
+		this.#ended = [...this.#ended.filter(ended => ended !== key), key].slice(-maxRemembered);
 	}
 }
--- /dev/null
+++ b/node/backend-link/test/backend-registration.test.ts
@@ -0,0 +1,73 @@
+import assert from 'node:assert/strict';
+import test from 'node:test';
+import type {BackendHeartbeat} from '@buckthornpoint/fleet/announcements.js';
+import {BackendRegistration} from '../src/backend-registration.js';
+
+const address = '10.0.0.1:8000';
+const bornMs = 1000;
+const key = 'i-1/1000';
+
+function createRegistration(): BackendRegistration {
+	return new BackendRegistration({address, isKnownService: () => true});
+}
+
+function createHeartbeat(opts: Partial<BackendHeartbeat> = {}): BackendHeartbeat {
+	return {
+		id: 'i-1', bornMs, sequence: 1, address, service: 's', failureDomain: 'a', slots: 18, isDraining: false, coldMs: 0, holds: [], released: [], ...opts,
+	};
+}
+
+test('a server that leaves is bound to what it said, whatever its heartbeats say later', () => {
+	const registration = createRegistration();
+	registration.handleHeartbeat(createHeartbeat(), 0);
+	registration.handleHeartbeat(createHeartbeat({sequence: 2, isDraining: true}), 1000);
+	registration.handleHeartbeat(createHeartbeat({sequence: 3}), 2000);
+	assert.equal(registration.current?.state, 'draining');
+	assert.equal(registration.current.leavingSinceMs, 1000);
+});
+
+test('a late heartbeat does not call a run ready that told an earlier process that it leaves', () => {
+	const registration = createRegistration();
+	assert.equal(registration.noteLeft([key]), false);
+	registration.handleHeartbeat(createHeartbeat(), 1000);
+	assert.equal(registration.current?.state, 'draining');
+	assert.equal(registration.current.leavingSinceMs, Number.NEGATIVE_INFINITY);
+});
+
+test('a run that was taken for ready leaves at once when its leaving is heard from elsewhere', () => {
+	const registration = createRegistration();
+	registration.handleHeartbeat(createHeartbeat(), 0);
+	assert.equal(registration.noteLeft([key]), true);
+	assert.equal(registration.noteLeft([key]), false);
+	assert.equal(registration.current?.state, 'draining');
+});
+
+test('a run that is first heard while it leaves may have told an earlier process long ago', () => {
+	const registration = createRegistration();
+	registration.handleHeartbeat(createHeartbeat({isDraining: true}), 1000);
+	assert.equal(registration.current?.leavingSinceMs, Number.NEGATIVE_INFINITY);
+});
+
+test('a leave call of a run that is not known yet holds for its late heartbeats', () => {
+	const registration = createRegistration();
+	assert.equal(registration.handleLeave('i-1', bornMs, 1000), false);
+	registration.handleHeartbeat(createHeartbeat(), 1100);
+	assert.equal(registration.current?.state, 'draining');
+});
+
+test('a run that leaves and is not reached for a moment goes on leaving', () => {
+	const registration = createRegistration();
+	registration.handleHeartbeat(createHeartbeat(), 0);
+	registration.handleHeartbeat(createHeartbeat({sequence: 2, isDraining: true}), 1000);
+	assert.equal(registration.noteGone(), key);
+	registration.handleHeartbeat(createHeartbeat({sequence: 3}), 2000);
+	assert.equal(registration.current?.state, 'draining');
+	assert.equal(registration.current.leavingSinceMs, 1000);
+});
+
+test('another run at the same address is ready though the one before it left', () => {
+	const registration = createRegistration();
+	registration.handleHeartbeat(createHeartbeat({isDraining: true}), 0);
+	registration.handleHeartbeat(createHeartbeat({id: 'i-2', bornMs: 2000}), 3000);
+	assert.equal(registration.current?.state, 'ready');
+});
--- a/node/mesh-daemon/src/backend-watch.ts
+++ b/node/mesh-daemon/src/backend-watch.ts
@@ -4,7 +4,8 @@
 import type {LapseClock} from '@buckthornpoint/clock/lapse-clock.js';
 import type {BackendHeartbeat} from '@buckthornpoint/fleet/announcements.js';
 import type {FleetView} from '@buckthornpoint/ingress/fleet-view.js';
-import type {BackendReport} from '@buckthornpoint/key-ranges/messages.js';
+import type {BackendReport, HeartbeatReply} from '@buckthornpoint/key-ranges/messages.js';
+import type {BackendKey} from '@buckthornpoint/key-ranges/key-ranges.js';
 import {RangeMember, type Grant} from '@buckthornpoint/key-ranges/range-member.js';
 import type {Log} from '@buckthornpoint/log/log.js';
 import type {MeshSettings} from './settings.js';
@@ -112,6 +113,20 @@
 		}
 	}
 
+	/** Takes over a controller's answer to a heartbeat that was sent at `sentMs` for `backend`. Returns whether the list of ranges changed. */
+	applyReply(reply: HeartbeatReply, sentMs: number, backend: BackendKey | undefined): boolean {
+		if (this.#registration.noteLeft(reply.left ?? [])) {
+			const {current} = this.#registration;
+			this.#opts.log.write({
+				event: 'backend-state', key: current?.key ?? '', service: current?.service ?? '', state: 'draining', coldMs: 0, reason: 'it told an earlier process of this node',
+			});
+			this.refresh();
+			this.#opts.onChange();
+		}
+
+		return this.member.applyReply(reply, sentMs, backend);
+	}
+
 	noteCold(coldMs: number): void {
 		this.#registration.noteCold(coldMs, this.#readNowMs());
 		this.refresh();
--- a/node/mesh-daemon/src/mesh-node.ts
+++ b/node/mesh-daemon/src/mesh-node.ts
@@ -247,7 +247,7 @@
 	}
 
 	#applyReply(reply: HeartbeatReply, sentMs: number, backend: string | undefined): void {
-		if (this.#watch.member.applyReply(reply, sentMs, backend)) {
+		if (this.#watch.applyReply(reply, sentMs, backend)) {
 			this.#opts.log.write({
 				event: 'ranges-assigned', epoch: reply.epoch, version: reply.assignmentVersion, ranges: this.#watch.member.listAssigned().length,
 			});
