test: give the client's tests time on a starved machine

None of them is about time.

Change: the time limit of the question for the routing table is an option of the client (2 s as before), and the tests give a minute to both. What they check stays.

--- a/client/client/src/client.ts
+++ b/client/client/src/client.ts
@@ -11,6 +11,8 @@
 const defaultConnections = 16;
 const fallbackDeadlineMs = 1000;
 const maxAttempts = 4;
+/** A node that has not said who owns what within this time, in milliseconds, is passed over: two requests would be over by then. */
+const defaultRoutingTimeoutMs = 2 * fallbackDeadlineMs;
 const firstDelayMs = 20;
 const reroutedReasons: ReadonlySet<FailureReason> = new Set(['incarnation-mismatch', 'lease-not-held', 'no-owner', 'peer-unreachable', 'service-unknown', 'stopping']);
 
@@ -22,6 +24,8 @@
 	readonly random: RandomSource;
 	/** The most connections to one node. */
 	readonly connectionsPerNode?: number;
+	/** How long one node is waited for when it is asked for the routing table, in milliseconds. */
+	readonly routingTimeoutMs?: number;
 };
 
 /** A request of a caller. */
@@ -83,7 +87,7 @@
 
 	constructor(opts: ClientOpts) {
 		this.#opts = opts;
-		this.#routing = new RoutingCache(opts.nodes);
+		this.#routing = new RoutingCache(opts.nodes, opts.routingTimeoutMs ?? defaultRoutingTimeoutMs);
 		this.#connections = new NodeConnections(opts.connectionsPerNode ?? defaultConnections);
 	}
 
--- a/client/client/src/routing-cache.ts
+++ b/client/client/src/routing-cache.ts
@@ -4,20 +4,21 @@
 import type {RoutingDocument} from '@buckthornpoint/types/routing-document.js';
 import {decodeRoutingDocument, isNewer} from './routing-document.js';
 
-const fetchTimeoutMs = 2000;
 const statusOk = 200;
 
 /** The newest routing document that the client knows. Any node can be asked for it. */
 export class RoutingCache {
 	readonly #seeds: readonly string[];
+	readonly #timeoutMs: number;
 	#document: RoutingDocument | undefined;
 	#fetching: Promise<Result<RoutingDocument, BuckthornpointError>> | undefined;
 	/** The node that answered last; it is asked first. */
 	#answered: string | undefined;
 
-	/** `seeds` are origins of nodes to ask before any others are known. */
-	constructor(seeds: readonly string[]) {
+	/** `seeds` are origins of nodes to ask before any others are known; each is waited for `timeoutMs`, in milliseconds. */
+	constructor(seeds: readonly string[], timeoutMs: number) {
 		this.#seeds = seeds;
+		this.#timeoutMs = timeoutMs;
 	}
 
 	/** Returns the known document, or asks for it when none is known. */
@@ -38,7 +39,7 @@
 		const preferred = this.#answered === undefined ? [] : [this.#answered];
 		let lastError = new BuckthornpointError('ERR_PEER_UNREACHABLE', 'the client knows no node', {hint: 'name at least one origin in nodes'});
 		for (const origin of new Set([...preferred, ...origins])) {
-			const asked = await askNode(origin);
+			const asked = await askNode(origin, this.#timeoutMs);
 			if (asked.isOk()) {
 				this.#answered = origin;
 				this.#document = isNewer(asked.value, this.#document) ? asked.value : this.#document ?? asked.value;
@@ -52,9 +53,9 @@
 	}
 }
 
-async function askNode(origin: string): Promise<Result<RoutingDocument, BuckthornpointError>> {
+async function askNode(origin: string, timeoutMs: number): Promise<Result<RoutingDocument, BuckthornpointError>> {
 	try {
-		const response = await request(`${origin}/v1/routing`, {signal: AbortSignal.timeout(fetchTimeoutMs)});
+		const response = await request(`${origin}/v1/routing`, {signal: AbortSignal.timeout(timeoutMs)});
 		const body = await response.body.json();
 		if (response.statusCode !== statusOk) {
 			return err(new BuckthornpointError('ERR_PEER_UNREACHABLE', `${origin} answered ${response.statusCode} to the question for its routing table`));
--- a/client/client/test/client.test.ts
+++ b/client/client/test/client.test.ts
@@ -13,8 +13,11 @@
 
 const servers: Server[] = [];
 const clients: Client[] = [];
+/** None of these tests is about time: on a machine that is starved for seconds each still has its answer. */
+const plentyMs = 60_000;
+
 const request: ClientRequest = {
-	service: 'sklad', key: 'lot-1', method: 'POST', path: '/lots', body: 'x', deadlineMs: 2000,
+	service: 'sklad', key: 'lot-1', method: 'POST', path: '/lots', body: 'x', deadlineMs: plentyMs,
 };
 
 afterEach(async () => {
@@ -58,7 +61,9 @@
 }
 
 function openClient(origin: string): Client {
-	const client = createClient({nodes: [origin], clock: new SystemClock(), random: new SeededRandom(1)});
+	const client = createClient({
+		nodes: [origin], clock: new SystemClock(), random: new SeededRandom(1), routingTimeoutMs: plentyMs,
+	});
 	clients.push(client);
 	return client;
 }
