fix: wait a lease, not the horizon, for owners lost with the controller

The controller's VM, which also held a quarter of the keys, was removed for good. The controller that took over waited 22 s for owners that it had never heard, because the one before might go on giving leases without the store for 25 s. Besides, a newcomer was promised keys of the lost owner; nobody could give them up, and for 5 s at a time nothing else was moved.

Ruled out: a directory without the owner's VM (it was gone), ranges that were written and not granted (the maps name the lost owner throughout).

Change: a node on the VM of the controller before that follows the new one proves that the one before gives no more leases; then only the last one is waited for. A controller that resigns says so in its row. The row also says how long leases from before it may run, so that a takeover does not begin their wait anew. Newcomers get keys of owners that are heard. Waits moved into a class of their own.

Left: a controller's VM that is gone for good gives no such proof; its keys and those of VMs lost with it still wait 22 s, once.

--- a/core/key-ranges/src/plan-moves.ts
+++ b/core/key-ranges/src/plan-moves.ts
@@ -107,12 +107,14 @@
 		return [];
 	}
 
+	// An owner that is not heard gives nothing up; its keys are dealt anew when its lease has ended.
+	const heard = new Set(view.backends.map(({key}) => key));
 	const moves: PlannedMove[] = [];
 	let given = keys.get(newcomer.key) ?? 0;
 	for (const segment of view.map.segments.toSorted((left, right) => left.to - right.to || left.from - right.from)) {
 		const owned = segment.owner === undefined ? 0 : keys.get(segment.owner) ?? 0;
 		const size = segment.to - segment.from + 1;
-		const isGiver = segment.owner !== undefined && segment.owner !== newcomer.key && owned - size >= fair * (1 - (newcomerPart / targets.length));
+		const isGiver = segment.owner !== undefined && heard.has(segment.owner) && segment.owner !== newcomer.key && owned - size >= fair * (1 - (newcomerPart / targets.length));
 		if (isGiver && given < fair * newcomerPart) {
 			given += size;
 			keys.set(segment.owner, owned - size);
--- a/core/key-ranges/src/range-controller.ts
+++ b/core/key-ranges/src/range-controller.ts
@@ -7,6 +7,7 @@
 	hasOverlap, isLaterRun, removeCovered, type BackendKey, type GrantedRange, type KeyRange,
 } from './key-ranges.js';
 import {judgeBackend, type ServiceRules, type SilenceOpts} from './judge-backend.js';
+import {LeaseTable, type EarlierLeases} from './lease-table.js';
 import type {BackendReport, HeartbeatReply, MemberHeartbeat} from './messages.js';
 import {assignOrphans, planMoves} from './plan-moves.js';
 import {
@@ -26,13 +27,11 @@
 };
 
 /** The begin of a controller's time: what its predecessors left. */
-export type ControllerStart = {
+export type ControllerStart = EarlierLeases & {
 	readonly epoch: number;
 	readonly maps: readonly RangeMap[];
 	/** The moment of the takeover, on this controller's clock. */
 	readonly startMs: number;
-	/** Until when earlier controllers may have let nodes grant, on this controller's clock. */
-	readonly earlierLeasesEndMs: number;
 };
 
 /**
@@ -45,13 +44,12 @@
 	readonly #opts: RangeControllerOpts;
 	readonly #vms = new VmTable();
 	readonly #maps = new Map<string, RangeMap>();
-	readonly #leaseEnds = new Map<BackendKey, number>();
+	readonly #leases: LeaseTable;
 	readonly #handovers = new HandoverTable();
 	readonly #firstSeen = new Map<string, number>();
 	/** Ranges that were planned for a new owner. A write whose answer was lost may still take effect, so the old owner never gets them back. */
 	readonly #withheld = new Map<string, readonly KeyRange[]>();
 	readonly #assignments: AssignmentVersions;
-	readonly #earlierLeasesEndMs: number;
 	readonly #startMs: number;
 	#moves: readonly PlannedMove[] = [];
 	/** When a move of a service was last under way. */
@@ -61,13 +59,18 @@
 		this.epoch = start.epoch;
 		this.#assignments = new AssignmentVersions(start.epoch);
 		this.#opts = opts;
-		this.#earlierLeasesEndMs = start.earlierLeasesEndMs;
+		this.#leases = new LeaseTable(start, opts.leaseMs);
 		this.#startMs = start.startMs;
 		for (const map of start.maps) {
 			this.#maps.set(map.service, map);
 		}
 	}
 
+	/** Until when leases that earlier controllers gave may run. */
+	get earlierLeasesEndMs(): number {
+		return this.#leases.earlierLeasesEndMs;
+	}
+
 	/** Takes a heartbeat and answers it. `maxLeaseMs` is what the store allows. */
 	handleHeartbeat(heartbeat: MemberHeartbeat, nowMs: number, maxLeaseMs: number): HeartbeatReply {
 		if (this.#vms.isOutdated(heartbeat)) {
@@ -76,10 +79,14 @@
 			};
 		}
 
+		if (heartbeat.epoch === this.epoch) {
+			this.#leases.noteFollower(heartbeat.vmId, nowMs);
+		}
+
 		const {backend} = heartbeat;
 		for (const key of [...this.#vms.note(heartbeat, nowMs), ...this.#listEarlierRuns(heartbeat)]) {
 			this.#vms.noteEnded(key);
-			this.#leaseEnds.delete(key);
+			this.#leases.remove(key);
 		}
 
 		const hasLease = backend !== undefined && !this.#vms.isEnded(backend.key);
@@ -139,7 +146,7 @@
 		const owners = new Set(changed.flatMap(({owner}) => owner === undefined ? [] : [owner]));
 		for (const owner of earlier?.vmOfOwner.keys() ?? []) {
 			if (!map.vmOfOwner.has(owner)) {
-				this.#leaseEnds.delete(owner);
+				this.#leases.remove(owner);
 			}
 		}
 
@@ -170,9 +177,7 @@
 	}
 
 	#noteBackend(heartbeat: MemberHeartbeat, backend: BackendReport, {nowMs, leaseEndMs}: {readonly nowMs: number; readonly leaseEndMs: number}): void {
-		// Until the node follows this controller, an answer of an earlier one may still reach it.
-		const end = heartbeat.epoch === this.epoch ? leaseEndMs : Math.max(leaseEndMs, this.#earlierLeasesEndMs);
-		this.#leaseEnds.set(backend.key, end);
+		this.#leases.note(backend.key, leaseEndMs, heartbeat.epoch === this.epoch);
 		this.#handovers.note(backend.service, backend.released);
 		if (!this.#firstSeen.has(backend.service)) {
 			this.#firstSeen.set(backend.service, nowMs);
@@ -225,7 +230,7 @@
 
 	/** Tells whether an owner can hold nothing any more: its end was proved, or the last lease it may have has passed. */
 	#isOver(owner: BackendKey, nowMs: number): boolean {
-		return this.#vms.isEnded(owner) || nowMs >= (this.#leaseEnds.get(owner) ?? this.#earlierLeasesEndMs);
+		return this.#vms.isEnded(owner) || this.#leases.isOver(owner, nowMs);
 	}
 
 	#isGivenUp(move: PlannedMove): boolean {
--- a/core/key-ranges/test/plan-moves.test.ts
+++ b/core/key-ranges/test/plan-moves.test.ts
@@ -85,3 +85,14 @@
 	assert.equal(moves.length, owned.length);
 	assert.ok(moves.every(({target}) => target !== 'slow1'));
 });
+
+test('a newcomer gets nothing from owners that are not heard: they would not give it up', () => {
+	const map = createMap();
+	const view = createView(map, 300);
+	const withNewcomer = [...view.backends.filter(({key}) => key !== 'slow1'), {
+		key: 'new', vmId: 'new', isEligible: true, mustLeave: false, isCold: false, slots, rangeLoads: [], demand: 0,
+	}];
+	const moves = planMoves({...view, backends: withNewcomer}, 0);
+	assert.ok(moves.length > 0);
+	assert.ok(moves.every(({owner}) => owner !== 'slow1'));
+});
--- a/node/cell-link/src/control-task.ts
+++ b/node/cell-link/src/control-task.ts
@@ -115,7 +115,7 @@
 		}
 
 		this.#stopLeading('the node stops');
-		const resigned = await this.#lease.release();
+		const resigned = await this.#lease.release(this.#opts.times.leaseMs);
 		if (resigned.isErr()) {
 			this.#noteFailure('resign', resigned.error.error.message);
 		}
@@ -127,14 +127,18 @@
 		this.#timer?.close();
 	}
 
-	#startLeading({record, earlier, maps, problems, earlierLeasesMs}: Takeover): void {
+	#startLeading({record, earlier, maps, problems, earlierLeasesMs, inheritedLeasesMs}: Takeover): void {
 		for (const problem of problems) {
 			this.#opts.onEvent({kind: 'store-failed', operation: 'decode a map', problem});
 		}
 
 		const startMs = this.#readNowMs();
 		this.#controller = new RangeController({
-			epoch: record.epoch, maps, startMs, earlierLeasesEndMs: startMs + earlierLeasesMs,
+			epoch: record.epoch,
+			maps,
+			startMs,
+			earlierLeasesEndMs: startMs + earlierLeasesMs,
+			...(earlier !== undefined && {predecessor: {vmId: earlier.vmId, inheritedLeasesEndMs: startMs + inheritedLeasesMs}}),
 		}, this.#opts.times);
 		this.#opts.onEvent({
 			kind: 'took-over', epoch: record.epoch, afterVm: earlier?.vmId ?? '', waitMs: Math.round(earlierLeasesMs),
@@ -189,7 +193,7 @@
 			return;
 		}
 
-		const written = await this.#lease.write(maps);
+		const written = await this.#lease.write(maps, controller.earlierLeasesEndMs - this.#readNowMs());
 		if (this.#controller !== controller) {
 			return;
 		}
--- a/node/cell-link/src/controller-lease.ts
+++ b/node/cell-link/src/controller-lease.ts
@@ -32,6 +32,8 @@
 	readonly problems: readonly string[];
 	/** How long leases that earlier controllers gave may still run, in milliseconds. */
 	readonly earlierLeasesMs: number;
+	/** The same of those before the last one. */
+	readonly inheritedLeasesMs: number;
 };
 
 /** What became of a search for the controller. */
@@ -102,8 +104,8 @@
 		return this.#acquire({snapshot: read.value, row, earlier: record}, sentMs);
 	}
 
-	/** Renews the row and writes maps with it. */
-	async write(maps: readonly RangeMap[]): Promise<Result<void, StoreFailure>> {
+	/** Renews the row and writes maps with it. `earlierLeasesMs` is how long leases of earlier controllers may still run. */
+	async write(maps: readonly RangeMap[], earlierLeasesMs: number): Promise<Result<void, StoreFailure>> {
 		const held = this.#held;
 		if (held === undefined) {
 			return ok(undefined);
@@ -111,7 +113,12 @@
 
 		const nowMs = this.#opts.readNowMs();
 		const storeMs = this.#estimateStoreMs(held);
-		const record: ControllerRecord = {...held.record, untilMs: storeMs + termMs, leasesEndMs: Math.max(held.record.leasesEndMs, storeMs + leaseHorizonMs)};
+		const record: ControllerRecord = {
+			...held.record,
+			untilMs: storeMs + termMs,
+			leasesEndMs: Math.max(held.record.leasesEndMs, storeMs + leaseHorizonMs),
+			earlierLeasesEndMs: Math.min(held.record.earlierLeasesEndMs, storeMs + (Math.max(0, earlierLeasesMs) * (1 + clockDrift))),
+		};
 		const written = await this.#opts.store.commit({
 			conditions: [
 				{table: cellTable, key: controllerKey, version: held.rowVersion},
@@ -165,17 +172,18 @@
 		return ok({kind: 'held', written: decodeMaps(changed).maps});
 	}
 
-	/** Lets another node take over at once. */
-	async release(): Promise<Result<void, StoreFailure>> {
+	/** Lets another node take over at once. Leases of at most `leaseMs` were given last, and none will be any more. */
+	async release(leaseMs: number): Promise<Result<void, StoreFailure>> {
 		const held = this.#held;
 		this.#held = undefined;
 		if (held === undefined) {
 			return ok(undefined);
 		}
 
+		const leasesEndMs = Math.max(held.record.earlierLeasesEndMs, this.#estimateStoreMs(held) + (leaseMs * (1 + clockDrift)));
 		const written = await this.#opts.store.commit({
 			conditions: [{table: cellTable, key: controllerKey, version: held.rowVersion}],
-			writes: [{table: cellTable, key: controllerKey, value: JSON.stringify({...held.record, untilMs: 0})}],
+			writes: [{table: cellTable, key: controllerKey, value: JSON.stringify({...held.record, untilMs: 0, leasesEndMs} satisfies ControllerRecord)}],
 		});
 		return written.map(() => undefined);
 	}
@@ -199,6 +207,7 @@
 			epoch: (earlier?.epoch ?? 0) + 1,
 			untilMs: snapshot.nowMs + termMs,
 			leasesEndMs: Math.max(snapshot.nowMs + leaseHorizonMs, earlier?.leasesEndMs ?? 0),
+			earlierLeasesEndMs: earlier?.leasesEndMs ?? 0,
 		};
 		const written = await this.#opts.store.commit({
 			conditions: [{table: cellTable, key: controllerKey, version: row?.version ?? 0}],
@@ -223,10 +232,14 @@
 			storeAtMs: sentMs,
 			renewedMs: this.#opts.readNowMs(),
 		};
-		const earlierLeasesMs = Math.max(0, (earlier?.leasesEndMs ?? 0) - written.value.nowMs) * (1 + clockDrift);
+		const measureWait = (endMs: number): number => Math.max(0, endMs - written.value.nowMs) * (1 + clockDrift);
 		return ok({
 			kind: 'taken', takeover: {
-				record, earlier, earlierLeasesMs, ...decodeMaps(mapRows),
+				record,
+				earlier,
+				earlierLeasesMs: measureWait(earlier?.leasesEndMs ?? 0),
+				inheritedLeasesMs: measureWait(earlier?.earlierLeasesEndMs ?? 0),
+				...decodeMaps(mapRows),
 			},
 		});
 	}
--- a/node/cell-link/src/controller-record.ts
+++ b/node/cell-link/src/controller-record.ts
@@ -21,10 +21,12 @@
 	readonly untilMs: number;
 	/** No lease that this controller or an earlier one gave ends later. */
 	readonly leasesEndMs: number;
+	/** No lease that a controller before this one gave ends later, as far as this one knows. */
+	readonly earlierLeasesEndMs: number;
 };
 
 const recordCodec = Codec.interface({
-	epoch: number, vmId: string, incarnation: string, address: string, untilMs: number, leasesEndMs: number,
+	epoch: number, vmId: string, incarnation: string, address: string, untilMs: number, leasesEndMs: number, earlierLeasesEndMs: number,
 });
 
 /** Returns the key of the row that holds the owners of a service's keys. */
--- a/node/cell-link/test/schedules.test.ts
+++ b/node/cell-link/test/schedules.test.ts
@@ -35,6 +35,47 @@
 	}
 });
 
+/** Within this time after a loss service is due again (bound `recovery_s` of the deployments), in milliseconds. */
+const recoveryMs = 15_000;
+
+/** Longer than any test lasts, in milliseconds. */
+const forGoodMs = 1_000_000;
+
+test('keys of a VM that is lost for good together with the controller are held by others in time', async () => {
+	const fleet = new SimulatedFleet(5, 12);
+	await fleet.run(settleMs);
+	const leader = fleet.vms.find(({node}) => node?.control.isLeading);
+	const victim = fleet.vms.find(vm => vm !== leader);
+	assert.ok(leader !== undefined && victim !== undefined);
+	fleet.stopNode(victim, forGoodMs);
+	fleet.stopBackend(victim, forGoodMs);
+	fleet.stopNode(leader, 700);
+	await fleet.run(recoveryMs);
+	assert.deepEqual(fleet.listUnheld(), []);
+	assert.deepEqual(fleet.problems, []);
+});
+
+test('keys of a VM that is lost for good do not wait anew at each change of the controller', async () => {
+	const fleet = new SimulatedFleet(5, 13);
+	await fleet.run(settleMs);
+	const victim = fleet.vms.find(({node}) => node?.control.isLeading === false);
+	assert.ok(victim !== undefined);
+	fleet.stopNode(victim, forGoodMs);
+	fleet.stopBackend(victim, forGoodMs);
+	for (let change = 0; change < 3; change++) {
+		const leader = fleet.vms.find(({node}) => node?.control.isLeading);
+		if (leader !== undefined) {
+			fleet.stopNode(leader, 700);
+		}
+
+		await fleet.run(recoveryMs / 3);
+	}
+
+	await fleet.run(recoveryMs / 3);
+	assert.deepEqual(fleet.listUnheld(), []);
+	assert.deepEqual(fleet.problems, []);
+});
+
 test('an outage of the store for 12 s stops no key', async () => {
 	const fleet = new SimulatedFleet(5, 8);
 	await fleet.run(settleMs);
