fix: read the controller's row of nodes that wrote no bound of earlier leases

Cause: a row without the new field was not read, and a node would have taken over as if there had been no controller, with a lower epoch. Nodes of both kinds run beside each other while they are stopped and started in turn.

Change: a row without it bounds the leases of earlier controllers by the one bound that it has. Test: both rows, and malformed ones.

--- a/node/cell-link/src/controller-record.ts
+++ b/node/cell-link/src/controller-record.ts
@@ -1,6 +1,8 @@
 import {toResult} from '@buckthornpoint/documents/either.js';
 import type {Result} from 'neverthrow';
-import {Codec, number, string} from 'purify-ts';
+import {
+	Codec, number, optional, string,
+} from 'purify-ts';
 
 /** The table of the cell's own rows. */
 export const cellTable = 'cell';
@@ -26,7 +28,7 @@
 };
 
 const recordCodec = Codec.interface({
-	epoch: number, vmId: string, incarnation: string, address: string, untilMs: number, leasesEndMs: number, earlierLeasesEndMs: number,
+	epoch: number, vmId: string, incarnation: string, address: string, untilMs: number, leasesEndMs: number, earlierLeasesEndMs: optional(number),
 });
 
 /** Returns the key of the row that holds the owners of a service's keys. */
@@ -41,7 +43,8 @@
 
 /** Decodes the controller's row. */
 export function decodeControllerRecord(text: string): Result<ControllerRecord, string> {
-	return toResult(recordCodec.decode(parseJson(text)));
+	// Nodes before this field wrote one bound for all controllers.
+	return toResult(recordCodec.decode(parseJson(text))).map(record => ({...record, earlierLeasesEndMs: record.earlierLeasesEndMs ?? record.leasesEndMs}));
 }
 
 function parseJson(text: string): unknown {
