fix: send nothing to a node before it answered on the connection

A process that is busy starting accepts connections long before it reads from them. The first requests on a new connection waited there, and the meter of delays had no earlier message to tell by that they were held up: they were begun after their callers had left.

Change: a new connection begins with a ping, and questions wait on the sender's side, where they can be taken back, until it is answered. A node that does not answer within the time for connecting got nothing, so the request may go elsewhere. Pings carry the sender's time, so that the meter knows the way before the first request.

Tests: two against a listener that accepts and stays silent; both fail on the sources before.

--- a/node/mesh-daemon/src/create-gate.ts
+++ b/node/mesh-daemon/src/create-gate.ts
@@ -1,6 +1,6 @@
 import {BackendGate} from '@buckthornpoint/backend-link/backend-gate.js';
 import type {Clock} from '@buckthornpoint/clock/clock.js';
-import {splitAddress} from '@buckthornpoint/peers/peer-link.js';
+import {splitAddress} from '@buckthornpoint/peers/split-address.js';
 import type {BackendWatch} from './backend-watch.js';
 import type {MeshSettings} from './settings.js';
 
--- a/node/mesh-daemon/src/mesh-node.ts
+++ b/node/mesh-daemon/src/mesh-node.ts
@@ -15,7 +15,7 @@
 import {RequestRouter} from '@buckthornpoint/ingress/request-router.js';
 import type {HeartbeatReply} from '@buckthornpoint/key-ranges/messages.js';
 import type {Log} from '@buckthornpoint/log/log.js';
-import {splitAddress} from '@buckthornpoint/peers/peer-link.js';
+import {splitAddress} from '@buckthornpoint/peers/split-address.js';
 import {PeerLinks} from '@buckthornpoint/peers/peer-links.js';
 import {PeerServer} from '@buckthornpoint/peers/peer-server.js';
 import {handleAnnouncement} from './handle-announcement.js';
--- a/node/mesh-daemon/src/plain-server.ts
+++ b/node/mesh-daemon/src/plain-server.ts
@@ -1,6 +1,6 @@
 import {Buffer} from 'node:buffer';
 import {createServer, type Server, type ServerResponse} from 'node:http';
-import {splitAddress} from '@buckthornpoint/peers/peer-link.js';
+import {splitAddress} from '@buckthornpoint/peers/split-address.js';
 
 /** A small call and its whole body. */
 export type PlainCall = {
--- a/node/peers/src/peer-link.ts
+++ b/node/peers/src/peer-link.ts
@@ -4,6 +4,7 @@
 import {
 	encodeFrame, FrameReader, frameTypes, type Frame, type FrameType,
 } from '@buckthornpoint/frames/frames.js';
+import {splitAddress} from './split-address.js';
 
 /** How a question to another node ended without an answer. */
 export type PeerFailure = {
@@ -24,6 +25,9 @@
 	readonly request: unknown;
 };
 
+/** A ping with the sender's clock when it was sent, in milliseconds. */
+export type SentPing = Pick<SentRequest, 'sentMs'>;
+
 /** How a link behaves. */
 export type PeerLinkOpts = {
 	/** Host and port of the other node's listener. */
@@ -54,6 +58,7 @@
 	readonly #pending = new Map<number, PeerHandler>();
 	#socket: Socket | undefined;
 	#reader = new FrameReader();
+	/** Whether the other node answered on this connection. */
 	#isConnected = false;
 	/** Frames that wait for the connection, by the number of their question. */
 	readonly #unsent = new Map<number, Buffer>();
@@ -147,12 +152,12 @@
 		this.#pingedMs = undefined;
 		socket.on('connect', () => {
 			if (this.#socket === socket) {
-				this.#handleConnect(socket);
+				socket.write(this.#encodePing());
 			}
 		});
 		socket.on('data', chunk => {
 			if (this.#socket === socket) {
-				this.#handleData(chunk);
+				this.#handleData(chunk, socket);
 			}
 		});
 		for (const event of ['error', 'end', 'close'] as const) {
@@ -164,10 +169,13 @@
 		}
 	}
 
-	#handleConnect(socket: Socket): void {
+	/**
+	 * The other node has answered a ping: questions go to it from now on. A process that is busy starting accepts
+	 * connections long before it reads from them, and a request would be begun there after its caller left.
+	 */
+	#startSending(socket: Socket): void {
 		this.#isConnected = true;
 		this.#isUnreached = false;
-		this.#heardMs = this.#readNowMs();
 		socket.cork();
 		for (const bytes of this.#unsent.values()) {
 			socket.write(bytes);
@@ -177,8 +185,12 @@
 		socket.uncork();
 	}
 
-	#handleData(chunk: Buffer): void {
+	#handleData(chunk: Buffer, socket: Socket): void {
 		this.#heardMs = this.#readNowMs();
+		if (!this.#isConnected) {
+			this.#startSending(socket);
+		}
+
 		this.#pingedMs = undefined;
 		try {
 			for (const frame of this.#reader.read(chunk)) {
@@ -214,7 +226,7 @@
 
 		const nowMs = this.#readNowMs();
 		if (!this.#isConnected && nowMs - this.#heardMs >= connectTimeoutMs) {
-			this.#fail('the node did not accept the connection in time', true);
+			this.#fail('the node did not answer on a new connection in time', true);
 			return;
 		}
 
@@ -225,12 +237,16 @@
 
 		if (this.#isConnected && this.#pingedMs === undefined && nowMs - this.#heardMs >= checkIntervalMs) {
 			this.#pingedMs = nowMs;
-			this.#socket.write(encodeFrame(frameTypes.ping, 0, undefined));
+			this.#socket.write(this.#encodePing());
 		}
 
 		this.#startTimer();
 	}
 
+	#encodePing(): Buffer {
+		return encodeFrame(frameTypes.ping, 0, {sentMs: this.#readNowMs()} satisfies SentPing);
+	}
+
 	#fail(reason: string, isDown: boolean): void {
 		const wasSent = this.#isConnected;
 		const socket = this.#socket;
@@ -280,9 +296,3 @@
 		return this.#opts.clock.readMoment().monotonicMs;
 	}
 }
-
-/** Splits host and port. */
-export function splitAddress(address: string): readonly [host: string, port: number] {
-	const colon = address.lastIndexOf(':');
-	return [address.slice(0, colon), Number(address.slice(colon + 1))];
-}
--- a/node/peers/src/peer-server.ts
+++ b/node/peers/src/peer-server.ts
@@ -3,7 +3,7 @@
 import {
 	encodeFrame, FrameReader, frameTypes, type Frame,
 } from '@buckthornpoint/frames/frames.js';
-import type {SentRequest} from './peer-link.js';
+import type {SentPing, SentRequest} from './peer-link.js';
 import {TransitMeter} from './transit-meter.js';
 
 /** Answers a question of another node, once. */
@@ -121,7 +121,7 @@
 		const {type, id, meta} = frame;
 		switch (type) {
 			case frameTypes.ping: {
-				socket.write(encodeFrame(frameTypes.pong, id, undefined));
+				this.#handlePing(frame, connection);
 				break;
 			}
 
@@ -158,6 +158,15 @@
 		}
 	}
 
+	/** A ping tells how long messages take that are not held up. Nodes of before send none of it. */
+	#handlePing({id, meta}: Frame, {socket, transit}: Connection): void {
+		if (meta !== undefined) {
+			transit.measureDelay((meta as SentPing).sentMs, this.#clock.readMoment().monotonicMs); // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion
+		}
+
+		socket.write(encodeFrame(frameTypes.pong, id, undefined));
+	}
+
 	#handleRequest({id, meta, body}: Frame, {socket, cancels, transit}: Connection): void {
 		const {sentMs, request} = meta as SentRequest; // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion
 		const delayMs = transit.measureDelay(sentMs, this.#clock.readMoment().monotonicMs);
--- /dev/null
+++ b/node/peers/src/split-address.ts
@@ -0,0 +1,5 @@
+/** Splits host and port. */
+export function splitAddress(address: string): readonly [host: string, port: number] {
+	const colon = address.lastIndexOf(':');
+	return [address.slice(0, colon), Number(address.slice(colon + 1))];
+}
--- a/node/peers/test/peers.test.ts
+++ b/node/peers/test/peers.test.ts
@@ -1,8 +1,13 @@
 import assert from 'node:assert/strict';
+import {createServer, type AddressInfo, type Socket} from 'node:net';
 import test from 'node:test';
 import {setTimeout as sleep} from 'node:timers/promises';
+import {ManualClock} from '@buckthornpoint/clock/manual-clock.js';
 import {SystemClock} from '@buckthornpoint/clock/system-clock.js';
-import {frameTypes} from '@buckthornpoint/frames/frames.js';
+import {
+	encodeFrame, FrameReader, frameTypes, type Frame,
+} from '@buckthornpoint/frames/frames.js';
+import type {PeerFailure, SentRequest} from '../src/peer-link.js';
 import {PeerLinks} from '../src/peer-links.js';
 import {PeerServer, type Reply} from '../src/peer-server.js';
 
@@ -136,3 +141,56 @@
 	assert.ok(fixture.requests.length === 0 || fixture.cancelled.length === 1);
 	close(fixture);
 });
+
+test('nothing is sent to a node that accepts a connection and does not answer on it yet', async () => {
+	const received: Frame[] = [];
+	const sockets: Socket[] = [];
+	const server = createServer(socket => {
+		const reader = new FrameReader();
+		sockets.push(socket);
+		socket.on('data', chunk => {
+			received.push(...reader.read(chunk));
+		});
+	});
+	await new Promise<void>(resolve => {
+		server.listen(0, '127.0.0.1', resolve);
+	});
+	// Time stands still: the link waits for the answer as long as the test likes.
+	const links = new PeerLinks({clock: new ManualClock(), onDown: () => undefined});
+	const link = links.get(`127.0.0.1:${(server.address() as AddressInfo).port}`); // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion
+	const handler = {onAnswer: () => undefined, onFailure: () => undefined};
+	const left = link.ask(frameTypes.request, 'the caller leaves', handler);
+	link.ask(frameTypes.request, 'the caller stays', handler);
+	await waitFor(() => received.length > 0);
+	link.cancelQuestion(left ?? 0);
+	assert.deepEqual(received.map(({type}) => type), [frameTypes.ping]);
+
+	sockets[0]!.write(encodeFrame(frameTypes.pong, 0, undefined));
+	await waitFor(() => received.length > 1);
+	assert.deepEqual(received.slice(1).map(({meta}) => (meta as SentRequest).request), ['the caller stays']); // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion
+	links.close();
+	server.close();
+});
+
+test('a node that accepts a connection and does not answer in time got nothing', async () => {
+	const server = createServer(() => undefined);
+	await new Promise<void>(resolve => {
+		server.listen(0, '127.0.0.1', resolve);
+	});
+	const clock = new ManualClock();
+	const links = new PeerLinks({clock, onDown: () => undefined});
+	const failures: PeerFailure[] = [];
+	links.get(`127.0.0.1:${(server.address() as AddressInfo).port}`).ask(frameTypes.request, 1, { // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion
+		onAnswer: () => undefined,
+		onFailure(failure) {
+			failures.push(failure);
+		},
+	});
+	await waitFor(() => {
+		clock.advance(10);
+		return failures.length > 0;
+	});
+	assert.deepEqual(failures.map(({wasSent}) => wasSent), [false]);
+	links.close();
+	server.close();
+});
