fix: do not begin a request whose caller left before it was read

A request left its caller at 49.31 s, the caller left at 49.49 s, and the request reached its server at 51.41 s, broken off in the same millisecond: the entry node read it and its caller's close in one go, the close one turn of the event loop later, and had begun it between the two.

Change: a request is routed two turns of the event loop after it was read, unless its connection has ended by then.

Test: a request and the end of its connection arrive before the server has a turn; it fails on the sources before, which began the request.

--- a/node/ingress/src/caller-server.ts
+++ b/node/ingress/src/caller-server.ts
@@ -2,6 +2,7 @@
 import {
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
+import {setImmediate} from 'node:timers';
 import type {Outcome, OutcomeReason} from '@buckthornpoint/backend-link/outcome.js';
 import type {Clock} from '@buckthornpoint/clock/clock.js';
 import {
@@ -9,26 +10,11 @@
 } from '@buckthornpoint/fleet/headers.js';
 import type {Route, RouteTable} from '@buckthornpoint/routes/routes.js';
 import {WeightedSplit} from '@buckthornpoint/routes/split.js';
+import type {FinishedRequest} from './finished-request.js';
 import type {FleetView} from './fleet-view.js';
 import type {RequestRouter} from './request-router.js';
 import type {RoutedRequest, RoutingResult} from './routing.js';
 
-/** A request that got its final answer, for logs and metrics. */
-export type FinishedRequest = {
-	readonly requestId: string | undefined;
-	readonly route: string | undefined;
-	readonly service: string | undefined;
-	readonly key: number | undefined;
-	readonly status: number;
-	readonly outcome: Outcome['kind'] | 'bad-request' | 'cancelled';
-	readonly reason: OutcomeReason | 'answered' | string;
-	readonly tries: readonly string[];
-	readonly tookMs: number;
-	/** The version of the routes that decided. */
-	readonly routesVersion: number | undefined;
-	readonly retryAfterMs: number | undefined;
-};
-
 /** What a caller server works with. */
 export type CallerServerOpts = {
 	readonly view: FleetView;
@@ -162,11 +148,30 @@
 			if (size > table.limits.bodyBytes) {
 				this.#replyPlainly(open, statusTooLarge, 'the body is too long');
 			} else {
-				this.#route(open, table, {route, body: chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks)});
+				this.#routeUnlessLeft(open, table, {route, body: chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks)});
 			}
 		});
 	}
 
+	/**
+	 * After a stall of the process, requests and the closes of their callers wait side by side, and a close is read one turn
+	 * of the event loop later. A request whose caller left is not begun.
+	 */
+	#routeUnlessLeft(open: Open, table: RouteTable, routed: {readonly route: Route; readonly body: Uint8Array}): void {
+		setImmediate(() => {
+			setImmediate(() => {
+				const {socket} = open.incoming;
+				if (socket.destroyed || socket.readableEnded) {
+					this.#report(open, {
+						route: routed.route.name, status: 0, outcome: 'cancelled', reason: 'the caller left before the request began', routesVersion: table.version,
+					});
+				} else {
+					this.#route(open, table, routed);
+				}
+			});
+		});
+	}
+
 	#route(open: Open, table: RouteTable, {route, body}: {readonly route: Route; readonly body: Uint8Array}): void {
 		const {incoming, response, headers, arrivedMs} = open;
 		const service = this.#split.choose(route, table.version);
--- a/node/ingress/test/caller-server.test.ts
+++ b/node/ingress/test/caller-server.test.ts
@@ -1,12 +1,15 @@
 import assert from 'node:assert/strict';
 import {Buffer} from 'node:buffer';
+import {once} from 'node:events';
 import {request as sendRequest, type IncomingMessage} from 'node:http';
+import {createConnection} from 'node:net';
 import test from 'node:test';
 import type {Outcome} from '@buckthornpoint/backend-link/outcome.js';
 import {SystemClock} from '@buckthornpoint/clock/system-clock.js';
 import {createCallerHeaders, readAnsweredId} from '@buckthornpoint/fleet-stand-in/stand-in-messages.js';
 import type {RouteTable} from '@buckthornpoint/routes/routes.js';
-import {CallerServer, type FinishedRequest} from '../src/caller-server.js';
+import {CallerServer} from '../src/caller-server.js';
+import type {FinishedRequest} from '../src/finished-request.js';
 import {FleetView} from '../src/fleet-view.js';
 import type {RoutedRequest} from '../src/routing.js';
 
@@ -176,3 +179,24 @@
 	assert.equal(fixture.finished[0]?.outcome, 'cancelled');
 	fixture.server.close();
 });
+
+test('a request whose caller left before it was read is not begun', async () => {
+	const fixture = await openFixture(undefined);
+	const clock = new SystemClock();
+	for (const leave of ['destroy', 'resetAndDestroy'] as const) {
+		const socket = createConnection(fixture.server.getPort(), '127.0.0.1');
+		await once(socket, 'connect');
+		const headers = Object.entries({host: 'a.example', ...createCallerHeaders('id-3')}).map(([name, value]) => `${name}: ${value}`);
+		socket.write(`GET /x/1 HTTP/1.1\r\n${headers.join('\r\n')}\r\n\r\n`);
+		// Both arrive before the server has a turn, as after a stall of its process.
+		socket[leave]();
+		while (fixture.server.countOpen() > 0 || fixture.finished.length === 0) {
+			await clock.sleep(1);
+		}
+
+		assert.deepEqual(fixture.routed, [], leave);
+		assert.equal(fixture.finished.splice(0)[0]?.outcome, 'cancelled');
+	}
+
+	fixture.server.close();
+});
--- a/node/mesh-daemon/src/log-decisions.ts
+++ b/node/mesh-daemon/src/log-decisions.ts
@@ -1,5 +1,5 @@
 import type {ControlEvent} from '@buckthornpoint/cell-link/control-task.js';
-import type {FinishedRequest} from '@buckthornpoint/ingress/caller-server.js';
+import type {FinishedRequest} from '@buckthornpoint/ingress/finished-request.js';
 import type {Log} from '@buckthornpoint/log/log.js';
 
 /** Logs what the control task did. */
--- a/node/mesh-daemon/src/node-metrics.ts
+++ b/node/mesh-daemon/src/node-metrics.ts
@@ -1,5 +1,5 @@
 import type {BackendGate} from '@buckthornpoint/backend-link/backend-gate.js';
-import type {FinishedRequest} from '@buckthornpoint/ingress/caller-server.js';
+import type {FinishedRequest} from '@buckthornpoint/ingress/finished-request.js';
 import {
 	Counter, Gauge, Histogram, Registry,
 } from 'prom-client';
