fix: refuse requests that may last beyond a planned stop

A node got SIGTERM at 15.50 s; a request sent to it at 20.15 s, on a route with 1.5 s, was passed on and given up at 20.94 s, shortly before the end of the grace time of 6 s. The node went on taking requests of any length until its end as long as some were open, which under load is always so.

Ruled out: the request's own deadline (1.5 s after it was sent), the other node (its run was cut by the end of the connection).

Change: once the node stops, a request whose deadline or route may last beyond the moment at which open requests are ended gets 503 with the time to come back, and its connection ends. Shorter ones, such as the calls of the server beside, are taken as before.

Test: a route of 0.8 s is refused 0.1 s before the end and taken a minute before; before the change it was routed.

--- a/node/ingress/src/caller-server.ts
+++ b/node/ingress/src/caller-server.ts
@@ -60,7 +60,8 @@
 	readonly #server: Server;
 	readonly #split = new WeightedSplit();
 	#open = 0;
-	#isStopping = false;
+	/** Once the node stops: when it ends what is still open, on its clock. */
+	#stopMs: number | undefined;
 
 	constructor(opts: CallerServerOpts) {
 		this.#opts = opts;
@@ -89,9 +90,9 @@
 		return this.#open;
 	}
 
-	/** From now on connections end with the answer that they wait for. */
-	startStop(): void {
-		this.#isStopping = true;
+	/** From now on connections end with the answer that they wait for, and requests that may last beyond `stopMs` are refused. */
+	startStop(stopMs: number): void {
+		this.#stopMs = stopMs;
 	}
 
 	/** Takes no new connections, and closes those that wait for nothing. */
@@ -176,6 +177,11 @@
 		const {incoming, response, headers, arrivedMs} = open;
 		const service = this.#split.choose(route, table.version);
 		const waitMs = Math.min(headers.deadlineMs ?? route.timeoutMs, route.timeoutMs);
+		if (this.#stopMs !== undefined && arrivedMs + waitMs > this.#stopMs) {
+			this.#refuse(open, 'stopping');
+			return;
+		}
+
 		const request: RoutedRequest = {
 			requestId: headers.requestId ?? '',
 			method: incoming.method ?? 'GET',
@@ -262,7 +268,7 @@
 		response.writeHead(status, [
 			...headers,
 			...hasLength ? ['Content-Length', String(body.length)] : [],
-			...this.#isStopping || !isFramed ? ['Connection', 'close'] : [],
+			...this.#stopMs !== undefined || !isFramed ? ['Connection', 'close'] : [],
 		]);
 		response.end(body);
 	}
--- a/node/ingress/test/caller-server.test.ts
+++ b/node/ingress/test/caller-server.test.ts
@@ -200,3 +200,22 @@
 
 	fixture.server.close();
 });
+
+test('a node that stops refuses what may last beyond its end, and takes the rest', async () => {
+	const fixture = await openFixture({
+		kind: 'answer', status: 200, headers: [], body: Buffer.from('done'), isFramed: true,
+	});
+	const nowMs = new SystemClock().readMoment().monotonicMs;
+	// The route's time is 0.8 s, the deadline 1.5 s.
+	fixture.server.startStop(nowMs + 100);
+	const refused = await call(fixture);
+	assert.deepEqual([refused.status, refused.headers.connection], [503, 'close']);
+	assert.ok(refused.headers['retry-after'] !== undefined);
+	assert.equal(fixture.finished[0]?.reason, 'stopping');
+	assert.deepEqual(fixture.routed, []);
+
+	fixture.server.startStop(nowMs + 60_000);
+	const taken = await call(fixture);
+	assert.deepEqual([taken.status, taken.headers.connection], [200, 'close']);
+	fixture.server.close();
+});
--- a/node/mesh-daemon/src/planned-stop.ts
+++ b/node/mesh-daemon/src/planned-stop.ts
@@ -36,7 +36,7 @@
 }: PlannedStopOpts): Promise<void> {
 	const startMs = clock.readMoment().monotonicMs;
 	const lastMs = startMs + graceMs - stopMarginMs;
-	callers.startStop();
+	callers.startStop(lastMs - handOffMs);
 	await clock.sleep(Math.min(notReadyMs, graceMs / 2));
 	while (callers.countOpen() > 0 && clock.readMoment().monotonicMs < lastMs - handOffMs) {
 		await clock.sleep(pollMs);
