--- a/core/key-ranges/src/lease-table.ts
+++ b/core/key-ranges/src/lease-table.ts
@@ -1,8 +1,6 @@
+import {clockDrift} from './clock-drift.js';
 import type {BackendKey} from './key-ranges.js';
 
-/** The clocks of two VMs may drift apart by this share (bound of the platform: 2% each). */
-const clockDrift = 0.04;
-
 /** What earlier controllers left, on this controller's clock. */
 export type EarlierLeases = {
 	/** Until when earlier controllers may have let nodes grant. */
--- a/core/key-ranges/src/range-map-record.ts
+++ b/core/key-ranges/src/range-map-record.ts
@@ -1,5 +1,6 @@
 import {toResult} from '@buckthornpoint/documents/either.js';
-import {err, type Result} from 'neverthrow';
+import {parseJson} from '@buckthornpoint/documents/parse-json.js';
+import type {Result} from 'neverthrow';
 import {
 	array, Codec, number, string,
 } from 'purify-ts';
@@ -37,11 +38,7 @@
 
 /** Decodes a map from a document of the store; the error says what is wrong with it. */
 export function decodeRangeMap(text: string): Result<RangeMap, string> {
-	try {
-		return decodeRangeMapRecord(JSON.parse(text));
-	} catch (error) {
-		return err(String(error));
-	}
+	return parseJson(text).andThen(record => decodeRangeMapRecord(record));
 }
 
 /** Decodes a map from a record; the error says what is wrong with it. */
--- a/node/cell-link/src/controller-record.ts
+++ b/node/cell-link/src/controller-record.ts
@@ -1,4 +1,5 @@
 import {toResult} from '@buckthornpoint/documents/either.js';
+import {parseJson} from '@buckthornpoint/documents/parse-json.js';
 import type {Result} from 'neverthrow';
 import {
 	Codec, number, optional, string,
@@ -44,14 +45,5 @@
 /** Decodes the controller's row. */
 export function decodeControllerRecord(text: string): Result<ControllerRecord, string> {
 	// Nodes before this field wrote one bound for all controllers.
-	return toResult(recordCodec.decode(parseJson(text))).map(record => ({...record, earlierLeasesEndMs: record.earlierLeasesEndMs ?? record.leasesEndMs}));
-}
-
-function parseJson(text: string): unknown {
-	try {
-		return JSON.parse(text);
-	} catch {
-		// The decoder says what it expected instead.
-		return undefined;
-	}
+	return parseJson(text).andThen(value => toResult(recordCodec.decode(value))).map(record => ({...record, earlierLeasesEndMs: record.earlierLeasesEndMs ?? record.leasesEndMs}));
 }
