fix: let no slow store eat the grace time of a planned stop

Cause: found by reading. A node that got SIGTERM waited for the store's answer to its resignation before it counted the grace time. Besides, a controller that had resigned went on looking for one, found the row free, and could take it back until it ended.

Change: the resignation goes beside the other steps, and a node that stops takes nothing over.

--- a/node/cell-link/src/control-task.ts
+++ b/node/cell-link/src/control-task.ts
@@ -52,6 +52,8 @@
 	#timer: Timer | undefined;
 	#isBusy = false;
 	#isClosed = false;
+	/** The node stops, and takes no duties over any more. */
+	#isStopping = false;
 	#failedMs: number | undefined;
 	#pausedUntilMs = 0;
 
@@ -93,7 +95,7 @@
 			return undefined;
 		}
 
-		const search = await this.#lease.findOrAcquire();
+		const search = await this.#lease.findOrAcquire(!this.#isStopping);
 		if (search.isErr()) {
 			this.#noteFailure('find the controller', search.error.error.message);
 			return undefined;
@@ -108,8 +110,9 @@
 		return search.value.kind === 'other' ? search.value.address : undefined;
 	}
 
-	/** Lets another node take over at once. */
+	/** Lets another node take over at once, and takes nothing over any more. */
 	async release(): Promise<void> {
+		this.#isStopping = true;
 		if (this.#controller === undefined) {
 			return;
 		}
--- a/node/cell-link/src/controller-lease.ts
+++ b/node/cell-link/src/controller-lease.ts
@@ -87,8 +87,8 @@
 		return this.#held === undefined ? 0 : (this.#held.record.leasesEndMs - this.#estimateStoreMs(this.#held)) / (1 + clockDrift);
 	}
 
-	/** Reads who is controller, and takes over where nobody is. */
-	async findOrAcquire(): Promise<Result<Search, StoreFailure>> {
+	/** Reads who is controller, and takes over where nobody is, if this node may. */
+	async findOrAcquire(mayAcquire: boolean): Promise<Result<Search, StoreFailure>> {
 		const sentMs = this.#opts.readNowMs();
 		const read = await this.#opts.store.readTable(cellTable);
 		if (read.isErr()) {
@@ -101,6 +101,10 @@
 			return ok({kind: 'other', address: record.address});
 		}
 
+		if (!mayAcquire) {
+			return ok({kind: 'contested'});
+		}
+
 		return this.#acquire({snapshot: read.value, row, earlier: record}, sentMs);
 	}
 
--- a/node/cell-link/test/schedules.test.ts
+++ b/node/cell-link/test/schedules.test.ts
@@ -76,6 +76,23 @@
 	assert.deepEqual(fleet.problems, []);
 });
 
+test('a controller that stops as planned hands over and does not take over again', async () => {
+	for (let seed = 20; seed < 24; seed++) {
+		const fleet = new SimulatedFleet(5, seed);
+		await fleet.run(settleMs);
+		const leader = fleet.vms.find(({node}) => node?.control.isLeading);
+		assert.ok(leader?.node !== undefined);
+		void leader.node.control.release();
+		for (let step = 0; step < 50; step++) {
+			await fleet.run(100);
+			assert.equal(leader.node.control.isLeading, false, `seed ${seed}, after ${step * 100} ms`);
+			assert.deepEqual(fleet.listUnheld(), [], `seed ${seed}, after ${step * 100} ms`);
+		}
+
+		assert.ok(fleet.vms.some(({node}) => node?.control.isLeading), `seed ${seed}`);
+	}
+});
+
 test('an outage of the store for 12 s stops no key', async () => {
 	const fleet = new SimulatedFleet(5, 8);
 	await fleet.run(settleMs);
--- a/node/mesh-daemon/src/mesh-node.ts
+++ b/node/mesh-daemon/src/mesh-node.ts
@@ -161,13 +161,13 @@
 	async stop(): Promise<void> {
 		this.#isStopping = true;
 		this.#member.requestHeartbeat();
-		await this.#control.release();
 		await runPlannedStop({
 			clock: this.#opts.clock,
 			callers: this.#callers,
 			gate: this.#gate,
 			peers: this.#peers,
 			graceMs: this.#times.graceMs,
+			release: async () => this.#control.release(),
 			onLeaving: () => {
 				this.#isLeaving = true;
 			},
@@ -212,6 +212,7 @@
 			getRules: () => this.#view.getRules(),
 			getRoutes: () => this.#view.getRoutes(),
 			getEvacuation: () => this.#view.getEvacuation(),
+			getLeft: () => this.#view.left,
 			askMembers: addresses => {
 				for (const address of addresses) {
 					this.#links.get(address).announce(frameTypes.notice, {});
--- a/node/mesh-daemon/src/planned-stop.ts
+++ b/node/mesh-daemon/src/planned-stop.ts
@@ -6,11 +6,13 @@
 /** What a planned stop works with. */
 export type PlannedStopOpts = {
 	readonly clock: Clock;
-	readonly callers: CallerServer;
-	readonly gate: BackendGate;
+	readonly callers: Pick<CallerServer, 'startStop' | 'countOpen' | 'stopListening'>;
+	readonly gate: Pick<BackendGate, 'stop' | 'countRunning'>;
 	/** Time until the process is killed, in milliseconds. */
 	readonly graceMs: number;
-	readonly peers: PeerServer;
+	readonly peers: Pick<PeerServer, 'announceLeaving' | 'closeConnections'>;
+	/** Gives the controller's duties back. The store may let it wait. */
+	readonly release: () => Promise<void>;
 	/** Called when the node takes nothing more from other nodes. */
 	readonly onLeaving: () => void;
 };
@@ -32,11 +34,13 @@
 
 /** Answers what is here and ends, within the grace time. Callers are sent elsewhere after two questions got no good answer. */
 export async function runPlannedStop({
-	clock, callers, gate, peers, graceMs, onLeaving,
+	clock, callers, gate, peers, graceMs, release, onLeaving,
 }: PlannedStopOpts): Promise<void> {
 	const startMs = clock.readMoment().monotonicMs;
 	const lastMs = startMs + graceMs - stopMarginMs;
 	callers.startStop(lastMs - handOffMs);
+	// Not waited for: where the store does not answer, the grace time would pass with it.
+	void release();
 	await clock.sleep(Math.min(notReadyMs, graceMs / 2));
 	while (callers.countOpen() > 0 && clock.readMoment().monotonicMs < lastMs - handOffMs) {
 		await clock.sleep(pollMs);
--- /dev/null
+++ b/node/mesh-daemon/test/planned-stop.test.ts
@@ -0,0 +1,73 @@
+import assert from 'node:assert/strict';
+import {setImmediate} from 'node:timers/promises';
+import test from 'node:test';
+import {ManualClock} from '@buckthornpoint/clock/manual-clock.js';
+import {runPlannedStop, type PlannedStopOpts} from '../src/planned-stop.js';
+
+const graceMs = 6000;
+
+type Stop = {readonly steps: string[]; readonly endMs: number; readonly stopMs: number};
+
+/** Stops a node with so many open requests of callers, in steps of 20 ms. */
+async function stop(readOpen: (nowMs: number) => number, release: PlannedStopOpts['release']): Promise<Stop> {
+	const clock = new ManualClock();
+	const steps: string[] = [];
+	let stopMs = 0;
+	const running = runPlannedStop({
+		clock,
+		callers: {
+			startStop(endMs) {
+				steps.push('refuse late requests');
+				stopMs = endMs;
+			},
+			countOpen: () => readOpen(clock.readMoment().monotonicMs),
+			stopListening() {
+				steps.push('stop listening');
+			},
+		},
+		gate: {
+			stop() {
+				steps.push('refuse what waits');
+			},
+			countRunning: () => 0,
+		},
+		peers: {
+			announceLeaving() {
+				steps.push('tell the others');
+			},
+			closeConnections() {
+				steps.push('end connections');
+			},
+		},
+		graceMs,
+		release,
+		onLeaving: () => undefined,
+	});
+	while (steps.at(-1) !== 'end connections' && clock.readMoment().monotonicMs < 2 * graceMs) {
+		await setImmediate();
+		clock.advance(20);
+	}
+
+	// What was written to the connections arrives.
+	await setImmediate();
+	clock.advance(100);
+	await running;
+	return {steps, endMs: clock.readMoment().monotonicMs, stopMs};
+}
+
+test('a node without open requests stops once its readiness was asked twice, in order', async () => {
+	const {steps, endMs} = await stop(() => 0, async () => undefined);
+	assert.deepEqual(steps, ['refuse late requests', 'stop listening', 'refuse what waits', 'tell the others', 'end connections']);
+	assert.ok(endMs < 3000, `${endMs} ms`);
+});
+
+test('a store that does not answer takes nothing of the grace time', async () => {
+	const {steps, endMs, stopMs} = await stop(() => 1, waitForever);
+	assert.equal(steps.at(-1), 'end connections');
+	assert.ok(endMs < graceMs, `${endMs} ms`);
+	assert.ok(stopMs < endMs);
+});
+
+async function waitForever(): Promise<void> {
+	await new ManualClock().sleep(1);
+}
