fix: let a new controller know which runs leave

A node that was started again is told by the controller which runs of its VM leave; a controller that took over in between had not heard of them.

Change: each node remembers them from the directories that it gets, and a node that becomes controller begins with what it knows.

Tests: a controller that begins with a run that leaves tells its node; a view remembers such runs until their VM is gone.

--- a/core/key-ranges/src/range-controller.ts
+++ b/core/key-ranges/src/range-controller.ts
@@ -8,6 +8,7 @@
 } from './key-ranges.js';
 import {judgeBackend, type ServiceRules, type SilenceOpts} from './judge-backend.js';
 import {LeaseTable, type EarlierLeases} from './lease-table.js';
+import type {LeftRuns} from './left-runs.js';
 import type {BackendReport, HeartbeatReply, MemberHeartbeat} from './messages.js';
 import {assignOrphans, planMoves} from './plan-moves.js';
 import {
@@ -32,6 +33,8 @@
 	readonly maps: readonly RangeMap[];
 	/** The moment of the takeover, on this controller's clock. */
 	readonly startMs: number;
+	/** What the controller's node knows of runs that leave, from the controller before. */
+	readonly left?: LeftRuns;
 };
 
 /**
@@ -42,7 +45,7 @@
 export class RangeController {
 	readonly epoch: number;
 	readonly #opts: RangeControllerOpts;
-	readonly #vms = new VmTable();
+	readonly #vms: VmTable;
 	readonly #maps = new Map<string, RangeMap>();
 	readonly #leases: LeaseTable;
 	readonly #handovers = new HandoverTable();
@@ -59,6 +62,7 @@
 		this.epoch = start.epoch;
 		this.#assignments = new AssignmentVersions(start.epoch);
 		this.#opts = opts;
+		this.#vms = new VmTable(start.left);
 		this.#leases = new LeaseTable(start, opts.leaseMs);
 		this.#startMs = start.startMs;
 		for (const map of start.maps) {
--- a/core/key-ranges/src/vm-table.ts
+++ b/core/key-ranges/src/vm-table.ts
@@ -1,19 +1,21 @@
 import type {VmState} from './controller-state.js';
 import {isLaterRun, type BackendKey} from './key-ranges.js';
+import {LeftRuns} from './left-runs.js';
 import type {DirectoryEntry, MemberHeartbeat} from './messages.js';
 
-/** Runs of one VM that leave and are remembered: one leaves at a time, and a late heartbeat comes seconds later. */
-const maxLeft = 4;
-
 /** The VMs that a controller heard of, and the runs of backend servers that are proved to be over. */
 export class VmTable {
 	readonly #vms = new Map<string, VmState>();
 	readonly #pastIncarnations = new Set<string>();
 	readonly #ended = new Set<BackendKey>();
-	/** Runs that leave, by VM. A process that is started again is told of them: a late heartbeat may call them ready. */
-	readonly #left = new Map<string, readonly BackendKey[]>();
+	readonly #left: LeftRuns;
 	#version = 0;
 
+	/** `left` is what is known of runs that leave at the start. */
+	constructor(left?: LeftRuns) {
+		this.#left = new LeftRuns(left);
+	}
+
 	/** Grows with each change that others have to know. */
 	get version(): number {
 		return this.#version;
@@ -57,7 +59,10 @@
 			this.#ended.add(key);
 		}
 
-		this.#noteLeft(heartbeat);
+		if (backend !== undefined && backend.state !== 'ready') {
+			this.#left.note(heartbeat.vmId, backend.key);
+		}
+
 		const next: VmState = {
 			vmId: heartbeat.vmId,
 			incarnation: heartbeat.incarnation,
@@ -96,7 +101,7 @@
 
 	/** Lists the runs on a VM that leave, latest last. */
 	listLeft(vmId: string): readonly BackendKey[] {
-		return this.#left.get(vmId) ?? [];
+		return this.#left.list(vmId);
 	}
 
 	listDirectory(): readonly DirectoryEntry[] {
@@ -108,19 +113,12 @@
 		const silent = [...this.#vms.values()].filter(vm => nowMs - vm.heardMs > forgetMs).map(({vmId}) => vmId);
 		for (const vmId of silent) {
 			this.#vms.delete(vmId);
-			this.#left.delete(vmId);
+			this.#left.remove(vmId);
 			this.#version++;
 		}
 
 		return silent;
 	}
-
-	#noteLeft({vmId, backend}: MemberHeartbeat): void {
-		const left = this.listLeft(vmId);
-		if (backend !== undefined && backend.state !== 'ready' && !left.includes(backend.key)) {
-			this.#left.set(vmId, [...left, backend.key].slice(-maxLeft));
-		}
-	}
 }
 
 function createEntry(vm: VmState): DirectoryEntry {
--- a/core/key-ranges/test/range-controller.test.ts
+++ b/core/key-ranges/test/range-controller.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import test from 'node:test';
 import {mergeRanges, type GrantedRange} from '../src/key-ranges.js';
+import {LeftRuns} from '../src/left-runs.js';
 import type {BackendReport, MemberHeartbeat} from '../src/messages.js';
 import {RangeController} from '../src/range-controller.js';
 
@@ -118,3 +119,12 @@
 	assert.deepEqual(controller.handleHeartbeat(createHeartbeat('a', {incarnation: 'run-2', state: 'ready'}), 3100, unlimitedMs).left, ['a/1']);
 	assert.equal(controller.handleHeartbeat(createHeartbeat('b'), 3100, unlimitedMs).left, undefined);
 });
+
+test('a new controller knows from its node which runs leave', () => {
+	const left = new LeftRuns();
+	left.note('a', 'a/1');
+	const controller = new RangeController({
+		epoch: 2, maps: [], startMs: 0, earlierLeasesEndMs: 0, left,
+	}, times);
+	assert.deepEqual(controller.handleHeartbeat(createHeartbeat('a'), 0, unlimitedMs).left, ['a/1']);
+});
--- a/node/cell-link/test/simulated-fleet.ts
+++ b/node/cell-link/test/simulated-fleet.ts
@@ -5,6 +5,7 @@
 import {
 	formatBackendKey, hasOverlap, keyCount, mergeRanges, type GrantedRange,
 } from '@buckthornpoint/key-ranges/key-ranges.js';
+import {LeftRuns} from '@buckthornpoint/key-ranges/left-runs.js';
 import type {MemberHeartbeat} from '@buckthornpoint/key-ranges/messages.js';
 import type {RangeControllerOpts} from '@buckthornpoint/key-ranges/range-controller.js';
 import {RangeMember} from '@buckthornpoint/key-ranges/range-member.js';
@@ -177,12 +178,12 @@
 			getRules: () => ({dividedServices: new Set([service]), evacuatedDomains: new Set<string>()}),
 			getRoutes: () => undefined,
 			getEvacuation: () => ({version: 0, domains: []}),
+			getLeft: () => new LeftRuns(),
 			askMembers: addresses => {
 				this.#askMembers(vm, addresses);
 			},
-			onEvent() {
-				// The invariants say whether what happened was right.
-			},
+			// The invariants say whether what happened was right.
+			onEvent: () => undefined,
 		});
 		const task: MemberTask = new MemberTask({
 			address: vm.vmId,
@@ -195,9 +196,7 @@
 			applyReply(reply, sentMs, backend) {
 				member.applyReply(reply, sentMs, backend);
 			},
-			onEvent() {
-				// The invariants say whether what happened was right.
-			},
+			onEvent: () => undefined,
 		});
 		task.start();
 		return {
--- a/node/ingress/src/fleet-view.ts
+++ b/node/ingress/src/fleet-view.ts
@@ -1,4 +1,5 @@
 import {findByKey, type BackendKey} from '@buckthornpoint/key-ranges/key-ranges.js';
+import {LeftRuns} from '@buckthornpoint/key-ranges/left-runs.js';
 import type {ServiceRules} from '@buckthornpoint/key-ranges/judge-backend.js';
 import type {DirectoryEntry, EvacuationOrders, HeartbeatReply} from '@buckthornpoint/key-ranges/messages.js';
 import type {RangeMap} from '@buckthornpoint/key-ranges/range-map.js';
@@ -7,6 +8,8 @@
 
 /** What a node knows of the others, of the owners of keys and of the operator's wishes. One task writes it, others read. */
 export class FleetView {
+	/** Runs that controllers called leaving. */
+	readonly left = new LeftRuns();
 	readonly #maps = new Map<string, RangeMap>();
 	#evacuated = new Set<string>();
 	#ordersVersion = 0;
@@ -95,6 +98,7 @@
 	/** Takes over the directory and the maps of a controller's answer. Returns what could not be read. */
 	applyReply(reply: HeartbeatReply): readonly string[] {
 		if (reply.directory !== undefined) {
+			this.#noteLeft(reply.directory, reply.isDirectoryComplete);
 			const known = reply.isDirectoryComplete ? [] : [...this.#entries.values()].filter(({vmId}) => reply.directory?.every(entry => entry.vmId !== vmId));
 			this.#setDirectory([...known, ...reply.directory], reply.directoryVersion);
 		}
@@ -130,6 +134,21 @@
 		return new Set([...this.#entries.values()].map(({address}) => address));
 	}
 
+	#noteLeft(directory: readonly DirectoryEntry[], isComplete: boolean): void {
+		for (const {vmId, backend} of directory) {
+			if (backend !== undefined && backend.state !== 'ready') {
+				this.left.note(vmId, backend.key);
+			}
+		}
+
+		const present = new Set(directory.map(({vmId}) => vmId));
+		for (const [vmId] of isComplete ? this.left.listAll() : []) {
+			if (!present.has(vmId)) {
+				this.left.remove(vmId);
+			}
+		}
+	}
+
 	#setDirectory(directory: readonly DirectoryEntry[], version: string): void {
 		this.#directoryVersion = version;
 		this.#entries = new Map(directory.map(entry => [entry.vmId, entry]));
--- a/node/ingress/test/fleet-view.test.ts
+++ b/node/ingress/test/fleet-view.test.ts
@@ -39,3 +39,16 @@
 	}, 'five'), false);
 	assert.equal(view.getRoutes()?.document, 'seven');
 });
+
+test('a run that was called leaving is remembered until its VM is gone', () => {
+	const view = new FleetView();
+	const {backend, ...entry} = createEntry('a');
+	assert.ok(backend !== undefined);
+	view.applyReply({...createReply([], true), directory: [{...entry, backend: {...backend, state: 'gone'}}]});
+	view.applyReply({...createReply([], true), directory: [entry]});
+	assert.deepEqual(view.left.list('a'), ['a/1']);
+	view.applyReply(createReply(['b'], false));
+	assert.deepEqual(view.left.list('a'), ['a/1']);
+	view.applyReply(createReply(['b'], true));
+	assert.deepEqual(view.left.list('a'), []);
+});
