fix: make room in the answers to heartbeats, and know what found none

Change: what was handed over is left out for ranges that the server holds already (16 of some 37 bytes a range), and neighbours are told as one from then on. What still finds no room counts as not held at the node.

Tests: the list shrinks once ranges are held; a range that was left out is not held, but may be. Both fail on the sources before.

--- a/core/key-ranges/src/range-member.ts
+++ b/core/key-ranges/src/range-member.ts
@@ -1,11 +1,9 @@
+import {clockDrift} from './clock-drift.js';
 import {
 	findByKey, hasOverlap, keyCount, mergeGrants, mergeRanges, removeCovered, type BackendKey, type GrantedRange, type KeyRange, type ReleasedRange,
 } from './key-ranges.js';
 import type {HeartbeatReply} from './messages.js';
 
-/** A backend server's clock may run slower than ours by this share (bound of the platform: 2%, and as much again for ours). */
-const clockDrift = 0.04;
-
 /** Grants shorter than this, in milliseconds, would end before the next heartbeat and are not worth sending. */
 const minHoldMs = 300;
 
@@ -45,6 +43,8 @@
 	#mayHold: readonly KeyRange[] = [];
 	#holdEndMs = Number.NEGATIVE_INFINITY;
 	#released: readonly ReleasedRange[] = [];
+	/** Ranges of the last grant that the server was not told of. */
+	#omitted: readonly KeyRange[] = [];
 
 	/** `startMs` is when the process started: before it another process may have granted what this one does not know of. */
 	constructor(opts: RangeMemberOpts, startMs: number) {
@@ -70,6 +70,7 @@
 			this.#mayHold = [];
 			this.#holdEndMs = Number.NEGATIVE_INFINITY;
 			this.#released = [];
+			this.#omitted = [];
 		}
 	}
 
@@ -115,14 +116,21 @@
 
 		this.#mayHold = mergeRanges([...holds.holds, ...this.#assignment]);
 		this.#holdEndMs = Math.max(this.#holdEndMs, nowMs + (holdMs * (1 + clockDrift)));
-		return {ranges: this.#assignment, holdMs};
+		this.#omitted = [];
+		return {ranges: removeKnownHandovers(this.#assignment, holds.holds), holdMs};
+	}
+
+	/** Takes note of ranges of the last grant that found no room in the answer: the server does not hold them. */
+	noteOmitted(ranges: readonly KeyRange[]): void {
+		this.#omitted = ranges;
 	}
 
 	/** Tells whether the backend server has a grant of the key that is still in force. */
 	isHeld(key: number, nowMs: number): boolean {
 		return nowMs < this.#holdEndMs
 			&& findByKey(this.#assignment, key) !== undefined
-			&& findByKey(this.#mayHold, key) !== undefined;
+			&& findByKey(this.#mayHold, key) !== undefined
+			&& findByKey(this.#omitted, key) === undefined;
 	}
 
 	/** Lists the ranges that the controller assigned. */
@@ -155,3 +163,12 @@
 		}
 	}
 }
+
+/** Leaves out what was handed over with ranges that the server holds already: the room in an answer is short. */
+function removeKnownHandovers(ranges: readonly GrantedRange[], holds: readonly KeyRange[]): readonly GrantedRange[] {
+	const held = mergeRanges(holds);
+	return mergeGrants(ranges.map(range => {
+		const holder = findByKey(held, range.from);
+		return holder !== undefined && holder.to >= range.to ? {from: range.from, to: range.to, fence: range.fence} : range;
+	}));
+}
--- a/core/key-ranges/test/range-member.test.ts
+++ b/core/key-ranges/test/range-member.test.ts
@@ -59,3 +59,31 @@
 	assert.equal(member.applyReply(createReply([all], '1.9'), 10, key), false);
 	assert.deepEqual(member.listAssigned(), [low]);
 });
+
+test('what was handed over goes with a range until the server holds it, and neighbours are told as one', () => {
+	const member = createMember();
+	const left: GrantedRange = {
+		from: 0, to: 99, fence: 2, handover: 'l',
+	};
+	const right: GrantedRange = {
+		from: 100, to: 199, fence: 2, handover: 'r',
+	};
+	member.applyReply(createReply([left, right], '1.1'), 0, key);
+	assert.deepEqual(member.grant({key, holds: [], released: []}, 0)?.ranges, [left, right]);
+	assert.deepEqual(member.grant({key, holds: [{from: 0, to: 99}], released: []}, 100)?.ranges, [{from: 0, to: 99, fence: 2}, right]);
+	assert.deepEqual(member.grant({key, holds: [{from: 0, to: 199}], released: []}, 200)?.ranges, [{from: 0, to: 199, fence: 2}]);
+});
+
+test('a range of which the server was not told counts as not held, but may be', () => {
+	const member = createMember();
+	const rest: GrantedRange = {from: 100, to: 199, fence: 2};
+	member.applyReply(createReply([low, rest], '1.1'), 0, key);
+	member.grant({key, holds: [], released: []}, 0);
+	member.noteOmitted([rest]);
+	assert.equal(member.isHeld(50, 10), true);
+	assert.equal(member.isHeld(150, 10), false);
+	member.applyReply(createReply([low], '1.2'), 20, key);
+	assert.deepEqual(member.listStillHeld(30), [{from: 100, to: 199}]);
+	member.grant({key, holds: [], released: []}, 40);
+	assert.equal(member.isHeld(50, 50), true);
+});
--- a/node/mesh-daemon/src/handle-announcement.ts
+++ b/node/mesh-daemon/src/handle-announcement.ts
@@ -38,7 +38,8 @@
 	}
 
 	const answer = encodeHeartbeatAnswer(grant);
-	if (answer.omitted > 0) {
+	if (grant !== undefined && answer.omitted > 0) {
+		watch.member.noteOmitted(grant.ranges.slice(-answer.omitted));
 		log.write({event: 'grant-shortened', omitted: answer.omitted});
 	}
 
