perf: cut the keys into 80 stripes a server instead of 96

Cause: after the loss of half of the servers of a service each holds twice its stripes, 192 of 96, and an answer to a heartbeat has room for some 190 ranges without what is handed over, fewer with longer fences.

Coarser stripes spread busy keys less.

That is 160 after such a loss, with room for ranges that moves have split.

Test: twice the stripes, with fences of six digits, find room in one answer; with 96 they did not.

--- a/core/key-ranges/src/range-map.ts
+++ b/core/key-ranges/src/range-map.ts
@@ -24,8 +24,11 @@
 	readonly vmId: string;
 };
 
-/** Stripes for each backend server at the start: busy keys lie close together, so neighbours go to different owners. */
-export const stripesPerBackend = 96;
+/**
+ * Stripes for each backend server at the start: busy keys lie close together, so neighbours go to different owners. An
+ * answer to a heartbeat has room for some 190 ranges; after the loss of half of the servers each holds twice its stripes.
+ */
+export const stripesPerBackend = 80;
 
 const maxStripes = 1024;
 
