--- /dev/null
+++ b/core/admission/src/advertised-limit.ts
@@ -0,0 +1,26 @@
+/** The request rate that a backend server accepts from all nodes together, as it advertises in its answers. */
+export class AdvertisedLimit {
+	#perS: number | undefined;
+	#advertisedMs = Number.NEGATIVE_INFINITY;
+
+	/** Requests per second; undefined if the server advertises no limit. */
+	get perS(): number | undefined {
+		return this.#perS;
+	}
+
+	/** Records the limit in an answer to a request that was sent at `sentMs`; undefined if the answer has none. Returns whether the limit changed. */
+	record(perS: number | undefined, {sentMs, nowMs}: {readonly sentMs: number; readonly nowMs: number}): boolean {
+		// Answers may arrive out of order: one to a request sent before the latest advertisement may be older than it.
+		if (perS === undefined && sentMs <= this.#advertisedMs) {
+			return false;
+		}
+
+		const hasChanged = perS !== this.#perS;
+		this.#perS = perS;
+		if (perS !== undefined) {
+			this.#advertisedMs = nowMs;
+		}
+
+		return hasChanged;
+	}
+}
--- a/node/backend-link/src/backend-gate.ts
+++ b/node/backend-link/src/backend-gate.ts
@@ -5,16 +5,16 @@
 import type {RangeLoad} from '@buckthornpoint/key-ranges/messages.js';
 import type {Exchange} from './backend-connection.js';
 import {BackendPool} from './backend-pool.js';
+import {BackendStatistics} from './backend-statistics.js';
 import {DemandMeter} from './demand-meter.js';
 import type {GateBackend} from './gate-backend.js';
 import {checkRequest} from './check-request.js';
-import {isAnswerTo, isServerFailure, classifyResponse} from './classify-response.js';
+import {isAnswerTo, classifyResponse} from './classify-response.js';
 import {
 	createNotRun, type Outcome, type OwnerLoad, type OwnerRequest,
 } from './outcome.js';
+import {RefusedConnections} from './refused-connections.js';
 import {SilenceWatch} from './silence-watch.js';
-import {Slowness} from './slowness.js';
-import {MeanServiceTime} from './mean-service-time.js';
 
 /** Dependencies of a gate. */
 export type BackendGateOpts = {
@@ -27,6 +27,8 @@
 	readonly onServerEnded: () => void;
 	/** Called with each answer that reports how long the server stays cold. */
 	readonly onCold: (coldMs: number) => void;
+	/** Called when the server starts, changes or stops advertising a request limit, and with the rate that was sent to it last. */
+	readonly onLimitChange: (limitPerS: number | undefined, sentPerS: number) => void;
 };
 
 /** Cancels a request after it was admitted or routed. */
@@ -41,13 +43,6 @@
 /** Retry-After for a server that is silent or refuses connections: within this time the other nodes learn of it and route elsewhere. */
 const unavailableRetryAfterMs = 200;
 
-/** No process listens at the server's address if at least this many connections were refused, over at least this time, without a liveness signal in between. */
-const minRefusedConnections = 3;
-const minRefusedMs = 250;
-
-/** Weight of the newest outcome in the failure share. */
-const newestOutcomeWeight = 0.08;
-
 const noRanges: readonly KeyRange[] = [];
 
 /**
@@ -60,16 +55,15 @@
 	readonly #demandMeter: DemandMeter;
 	#pool: BackendPool | undefined;
 	#backend: GateBackend | undefined;
-	#failureShare = 0;
+	#statistics = new BackendStatistics();
 	readonly #silenceWatch = new SilenceWatch();
-	#slowness = new Slowness();
-	#meanServiceTime = new MeanServiceTime();
-	#refusedConnections = 0;
-	#refusedSinceMs = 0;
+	readonly #sentMeter: DemandMeter;
+	readonly #refusedConnections = new RefusedConnections();
 
 	constructor(opts: BackendGateOpts) {
 		this.#opts = opts;
 		this.#demandMeter = new DemandMeter(this.#readNowMs());
+		this.#sentMeter = new DemandMeter(this.#readNowMs());
 	}
 
 	/** Sets the current instance and state of the backend server; undefined if there is none. A change of instance resets the statistics and refuses waiting requests. */
@@ -77,11 +71,8 @@
 		if (backend?.id !== this.#backend?.id) {
 			this.#pool?.close();
 			this.#pool = undefined;
-			this.#failureShare = 0;
-			this.#silenceWatch.recordLiveness();
-			this.#slowness = new Slowness();
-			this.#meanServiceTime = new MeanServiceTime();
-			this.#refusedConnections = 0;
+			this.#statistics = new BackendStatistics();
+			this.recordLiveness();
 			this.#queue.refuseWaiting('closed');
 		}
 
@@ -96,7 +87,7 @@
 	/** Records a liveness signal, such as a heartbeat. */
 	recordLiveness(): void {
 		this.#silenceWatch.recordLiveness();
-		this.#refusedConnections = 0;
+		this.#refusedConnections.reset();
 	}
 
 	/** Runs a request at the backend server or refuses it with a reason. Calls `finish` once. */
@@ -142,6 +133,7 @@
 		this.#queue.expireWaiting(nowMs);
 		this.#queue.startWaiting(nowMs);
 		this.#demandMeter.advance(nowMs);
+		this.#sentMeter.advance(nowMs);
 		this.#pool?.closeIdle();
 	}
 
@@ -151,15 +143,15 @@
 			outstanding: running + waiting,
 			slots,
 			serviceMs: Math.round(serviceMs),
-			slowness: Math.round(this.#slowness.readFactor(this.#readNowMs()) * 10) / 10,
-			failureShare: Math.round(this.#failureShare * 100) / 100,
+			slowness: Math.round(this.#statistics.slowness.readFactor(this.#readNowMs()) * 10) / 10,
+			failureShare: Math.round(this.#statistics.failureShare * 100) / 100,
 		};
 	}
 
 	/** Offered work as a share of the slots (1 if it would occupy all slots), plus the failure share: a failing server counts as busier than it is. */
 	readDemand(): number {
 		const {slots} = this.#queue.readLoad();
-		return (this.#demandMeter.requestsPerSecond * this.#meanServiceTime.readMs() / 1000 / Math.max(1, slots)) + this.#failureShare;
+		return (this.#demandMeter.requestsPerSecond * this.#statistics.meanServiceTime.readMs() / 1000 / Math.max(1, slots)) + this.#statistics.failureShare;
 	}
 
 	/** Rate of the requests that are offered to the server. */
@@ -167,6 +159,16 @@
 		return this.#demandMeter.requestsPerSecond;
 	}
 
+	/** The request limit that the server advertises, per second; undefined if it advertises none. */
+	readLimitPerS(): number | undefined {
+		return this.#statistics.limit.perS;
+	}
+
+	/** Rate of the requests that were sent to the server. */
+	readSentRequestsPerSecond(): number {
+		return this.#sentMeter.requestsPerSecond;
+	}
+
 	listRangeLoads(ranges: readonly KeyRange[]): readonly RangeLoad[] {
 		return this.#backend?.isDivided === true ? this.#demandMeter.listRangeLoads(ranges) : this.#demandMeter.listRangeLoads(noRanges);
 	}
@@ -198,6 +200,7 @@
 			return () => undefined;
 		}
 
+		this.#sentMeter.recordOffered(undefined);
 		let isTimedOut = false;
 		let isCancelled = false;
 		const timer = this.#opts.clock.startTimer(endMs - startMs + answerGraceMs, () => {
@@ -211,7 +214,7 @@
 			body: request.body,
 		}, request.requestId, exchange => {
 			timer.close();
-			const outcome = isCancelled ? {kind: 'unknown', reason: 'cancelled'} as const : this.#evaluateExchange(exchange, isTimedOut);
+			const outcome = isCancelled ? {kind: 'unknown', reason: 'cancelled'} as const : this.#evaluateExchange(exchange, {isTimedOut, sentMs: startMs});
 			const tookMs = exchange.kind === 'answered' && outcome.kind === 'answer' ? this.#readNowMs() - startMs : undefined;
 			this.#recordOutcome(outcome, {isTimedOut, tookMs});
 			this.#queue.release(request.route, tookMs, this.#readNowMs());
@@ -223,9 +226,12 @@
 		};
 	}
 
-	#evaluateExchange(exchange: Exchange, isTimedOut: boolean): Outcome {
+	#evaluateExchange(exchange: Exchange, {isTimedOut, sentMs}: {readonly isTimedOut: boolean; readonly sentMs: number}): Outcome {
 		if (exchange.kind === 'not-sent') {
-			this.#recordRefusedConnection(exchange.isRefused);
+			if (exchange.isRefused && this.#refusedConnections.record(this.#readNowMs())) {
+				this.#opts.onServerEnded();
+			}
+
 			return createNotRun(exchange.isRefused ? 'connection-refused' : 'connection-lost', unavailableRetryAfterMs);
 		}
 
@@ -233,10 +239,16 @@
 			return {kind: 'unknown', reason: isTimedOut ? 'timeout' : 'connection-lost'};
 		}
 
-		const {outcome, coldMs, slowness} = classifyResponse(exchange.response);
-		this.#refusedConnections = 0;
+		const {
+			outcome, coldMs, slowness, limitPerS,
+		} = classifyResponse(exchange.response);
+		this.#refusedConnections.reset();
+		if (this.#statistics.limit.record(limitPerS, {sentMs, nowMs: this.#readNowMs()})) {
+			this.#opts.onLimitChange(limitPerS, this.#sentMeter.requestsPerSecond);
+		}
+
 		if (slowness !== undefined) {
-			this.#slowness.record(slowness, this.#readNowMs());
+			this.#statistics.slowness.record(slowness, this.#readNowMs());
 		}
 
 		if (coldMs !== undefined) {
@@ -247,11 +259,7 @@
 	}
 
 	#recordOutcome(outcome: Outcome, {isTimedOut, tookMs}: {readonly isTimedOut: boolean; readonly tookMs: number | undefined}): void {
-		if (tookMs !== undefined) {
-			this.#meanServiceTime.record(tookMs);
-		}
-
-		this.#failureShare += ((isServerFailure(outcome) ? 1 : 0) - this.#failureShare) * newestOutcomeWeight;
+		this.#statistics.record(outcome, tookMs);
 		if (isTimedOut) {
 			this.#silenceWatch.recordTimeout();
 		} else if (outcome.kind === 'answer') {
@@ -259,21 +267,6 @@
 		}
 	}
 
-	/** Concludes from repeatedly refused connections that the server has ended. A server that has run out of connections may briefly refuse some, too. */
-	#recordRefusedConnection(isRefused: boolean): void {
-		if (!isRefused) {
-			return;
-		}
-
-		const nowMs = this.#readNowMs();
-		this.#refusedSinceMs = this.#refusedConnections === 0 ? nowMs : this.#refusedSinceMs;
-		this.#refusedConnections++;
-		if (this.#refusedConnections >= minRefusedConnections && nowMs - this.#refusedSinceMs >= minRefusedMs) {
-			this.#refusedConnections = 0;
-			this.#opts.onServerEnded();
-		}
-	}
-
 	#getPool(): BackendPool {
 		this.#pool ??= new BackendPool({
 			host: this.#opts.host,
--- a/node/backend-link/src/classify-response.ts
+++ b/node/backend-link/src/classify-response.ts
@@ -9,6 +9,10 @@
 	readonly coldMs: number | undefined;
 	/** Present execution time on the server's machine as a multiple of the usual one; undefined if the server does not report it. */
 	readonly slowness: number | undefined;
+	/** Requests per second that the server accepts from all nodes together; undefined if it advertises no limit. */
+	readonly limitPerS: number | undefined;
+	/** Whether the server states that it is leaving. */
+	readonly isLeaving: boolean;
 };
 
 /** Retry-After for a refusal of the server that states none. */
@@ -25,19 +29,21 @@
 	status, headers, body, isFramed,
 }: ParsedResponse): ClassifiedResponse {
 	const fields = readBackendHeaders(status, headers);
-	const {coldMs} = fields;
-	const slowness = fields.load?.slowness;
+	const {coldMs, limitPerS, isLeaving} = fields;
+	const state = {
+		coldMs, slowness: fields.load?.slowness, limitPerS, isLeaving,
+	};
 	if (fields.isNotExecuted) {
-		return {coldMs, slowness, outcome: createNotRun(status === statusMisdirected ? 'not-held' : 'refused-by-backend', fields.retryAfterMs ?? refusedRetryAfterMs, true)};
+		return {...state, outcome: createNotRun(status === statusMisdirected ? 'not-held' : 'refused-by-backend', fields.retryAfterMs ?? refusedRetryAfterMs, true)};
 	}
 
 	const isSuccess = status >= firstSuccessStatus && status < firstRedirectStatus;
 	if (fields.hasContentEncoding || (isSuccess && !fields.isSealed)) {
-		return {coldMs, slowness, outcome: {kind: 'unknown', reason: 'garbled'}};
+		return {...state, outcome: {kind: 'unknown', reason: 'garbled'}};
 	}
 
 	return {
-		coldMs, slowness, outcome: {
+		...state, outcome: {
 			kind: 'answer', status, headers: selectForwardedAnswerHeaders(headers), body, isFramed,
 		},
 	};
--- a/node/backend-link/test/backend-gate.test.ts
+++ b/node/backend-link/test/backend-gate.test.ts
@@ -52,6 +52,7 @@
 			refused.push(1);
 		},
 		onCold: () => undefined,
+		onLimitChange: () => undefined,
 	});
 	gate.setBackend({
 		id: 'i-1', service: 'sklad', slots: 2, isDivided: true, coldPerS: undefined,
--- a/node/ingress/test/routing.test.ts
+++ b/node/ingress/test/routing.test.ts
@@ -61,7 +61,7 @@
 		ownAddress: '127.0.0.1:1',
 		view,
 		gate: new BackendGate({
-			host: '127.0.0.1', port: 1, clock, isHeld: () => false, onServerEnded: () => undefined, onCold: () => undefined,
+			host: '127.0.0.1', port: 1, clock, isHeld: () => false, onServerEnded: () => undefined, onCold: () => undefined, onLimitChange: () => undefined,
 		}),
 		links,
 		failureDomain: 'a',
--- a/node/log/src/events.ts
+++ b/node/log/src/events.ts
@@ -30,6 +30,10 @@
 		| {readonly event: 'operator-row-invalid'; readonly message: string}
 		| {readonly event: 'evacuation'; readonly failureDomains: readonly string[]; readonly version: number; readonly from: 'store' | 'controller'}
 		| {readonly event: 'backend-state'; readonly key: string; readonly service: string; readonly state: string; readonly coldMs: number; readonly reason: string}
+		| {
+			readonly event: 'backend-limit'; readonly key: string; readonly service: string;
+			readonly limitPerS: number | undefined; readonly sentPerS: number;
+		}
 		| {readonly event: 'announcement-ignored'; readonly id: string; readonly reason: string}
 		| {readonly event: 'ranges-assigned'; readonly epoch: number; readonly version: string; readonly ranges: number}
 		| {readonly event: 'grant-shortened'; readonly omitted: number}
@@ -78,6 +82,7 @@
 	'operator-row-invalid': 'error',
 	evacuation: 'info',
 	'backend-state': 'info',
+	'backend-limit': 'info',
 	'announcement-ignored': 'warn',
 	'ranges-assigned': 'info',
 	'grant-shortened': 'warn',
--- a/node/mesh-daemon/src/backend-watch.ts
+++ b/node/mesh-daemon/src/backend-watch.ts
@@ -131,6 +131,14 @@
 		return this.member.applyReply(reply, sentMs, backend);
 	}
 
+	/** Logs the request limit that the server advertises; undefined if it no longer advertises one. */
+	logLimit(limitPerS: number | undefined, sentPerS: number): void {
+		const {current} = this.#registration;
+		this.#opts.log.write({
+			event: 'backend-limit', key: current?.key ?? '', service: this.getLocalService(), limitPerS, sentPerS: Math.round(sentPerS * 10) / 10,
+		});
+	}
+
 	recordCold(coldMs: number): void {
 		this.#registration.recordCold(coldMs, this.#readNowMs());
 		this.refresh();
--- a/node/mesh-daemon/src/create-gate.ts
+++ b/node/mesh-daemon/src/create-gate.ts
@@ -18,6 +18,9 @@
 		onCold(coldMs) {
 			watch.recordCold(coldMs);
 		},
+		onLimitChange(limitPerS, sentPerS) {
+			watch.logLimit(limitPerS, sentPerS);
+		},
 	});
 	watch.setGate(gate);
 	return gate;
--- a/node/mesh-daemon/src/node-metrics.ts
+++ b/node/mesh-daemon/src/node-metrics.ts
@@ -17,6 +17,9 @@
 
 const millisecondsPerSecond = 1000;
 
+/** Value of the limit gauge without a limit: 0 is a valid limit. */
+const noLimit = -1;
+
 /** The Prometheus metrics of a node. docs/operators/fleet.md lists them. */
 export class NodeMetrics {
 	readonly #registry = new Registry();
@@ -44,6 +47,8 @@
 		this.#addGauge('buckthornpoint_service_seconds', 'Time that a run at the backend server takes', () => sources.gate.readLoad().serviceMs / millisecondsPerSecond);
 		this.#addGauge('buckthornpoint_failure_share', 'Share of the latest requests that the backend server failed or refused', () => sources.gate.readLoad().failureShare);
 		this.#addGauge('buckthornpoint_demand', 'Work offered to the backend server as a share of its slots', () => sources.gate.readDemand());
+		this.#addGauge('buckthornpoint_limit_per_second', 'Advertised request limit of the backend server; -1 without a limit', () => sources.gate.readLimitPerS() ?? noLimit);
+		this.#addGauge('buckthornpoint_sent_per_second', 'Requests per second that were sent to the backend server', () => sources.gate.readSentRequestsPerSecond());
 		this.#addGauge('buckthornpoint_controller', '1 while this node is the controller', () => sources.isController() ? 1 : 0);
 		this.#addGauge('buckthornpoint_routes_version', 'Version of the routes in force', () => sources.getRoutesVersion());
 		this.#addGauge('buckthornpoint_assigned_ranges', 'Ranges that the backend server is to hold', () => sources.countAssignedRanges());
