--- /dev/null
+++ b/node/backend-link/test/advertised-limit.test.ts
@@ -0,0 +1,82 @@
+import assert from 'node:assert/strict';
+import {createServer} from 'node:net';
+import {setImmediate} from 'node:timers/promises';
+import test, {type TestContext} from 'node:test';
+import {ManualClock} from '@buckthornpoint/clock/manual-clock.js';
+import {createCallerHeaders, formatAnswer, readRequestHead} from '@buckthornpoint/fleet-stand-in/stand-in-messages.js';
+import {BackendGate} from '../src/backend-gate.js';
+import type {Outcome} from '../src/outcome.js';
+
+/** The users' rule: at most 1.5 times what the limit allows in any 4 s, and 5 requests more. */
+const ruleWindowMs = 4000;
+const ruleFactor = 1.5;
+const ruleSlack = 5;
+
+const stepMs = 20;
+
+type Load = {readonly perS: number; readonly durationMs: number; readonly readLimitPerS: (nowMs: number) => number | undefined; readonly waitMs?: number};
+type Result = {readonly arrivalsMs: readonly number[]; readonly outcomes: ReadonlyArray<{readonly outcome: Outcome; readonly tookMs: number}>};
+
+/** Offers requests at a constant rate to a server that answers immediately and advertises a limit. */
+async function offer(t: TestContext, {perS, durationMs, readLimitPerS, waitMs = 0}: Load): Promise<Result> {
+	const clock = new ManualClock();
+	const readNowMs = (): number => clock.readTimestamp().monotonicMs;
+	const arrivalsMs: number[] = [];
+	const outcomes: Array<{readonly outcome: Outcome; readonly tookMs: number}> = [];
+	const server = createServer(socket => {
+		socket.on('error', () => undefined);
+		socket.on('data', chunk => {
+			arrivalsMs.push(readNowMs());
+			const limitPerS = readLimitPerS(readNowMs());
+			socket.write(formatAnswer(readRequestHead(chunk.toString('latin1')).requestId ?? '', 'ok', limitPerS === undefined ? {} : {limitPerS}));
+		});
+	});
+	await new Promise<void>(resolve => {
+		server.listen(0, '127.0.0.1', resolve);
+	});
+	const address = server.address();
+	const gate = new BackendGate({
+		host: '127.0.0.1', port: typeof address === 'object' ? address?.port ?? 0 : 0, clock, isHeld: () => true,
+		onServerEnded: () => undefined, onCold: () => undefined, onLimitChange: () => undefined,
+	});
+	t.after(() => {
+		gate.close();
+		server.close();
+	});
+	gate.setBackend({
+		id: 'i-1', service: 'sklad', slots: 18, isDivided: false, coldPerS: undefined,
+	});
+	let offered = 0;
+	for (let elapsedMs = 0; elapsedMs < durationMs; elapsedMs += stepMs) {
+		for (; offered < perS * elapsedMs / 1000; offered++) {
+			const startMs = readNowMs();
+			const requestId = `id-${offered}`;
+			gate.admit({
+				requestId, method: 'GET', path: '/', headers: Object.entries(createCallerHeaders(requestId)).flat(), body: new Uint8Array(), key: undefined, service: 'sklad', route: 'r',
+				callerService: 'c', priority: 1, isIdempotent: true, mayWait: waitMs > 0, remainingMs: 3000, targetMs: waitMs, lateMs: waitMs,
+			}, outcome => {
+				outcomes.push({outcome, tookMs: readNowMs() - startMs});
+			});
+		}
+
+		for (let turn = 0; turn < 40 && outcomes.length < offered; turn++) {
+			await setImmediate();
+		}
+
+		clock.advance(stepMs);
+		gate.advance();
+	}
+
+	return {arrivalsMs, outcomes};
+}
+
+function countMostInWindow(timesMs: readonly number[]): number {
+	return Math.max(...timesMs.map(startMs => timesMs.filter(timeMs => timeMs >= startMs && timeMs < startMs + ruleWindowMs).length));
+}
+
+for (const limitPerS of [0.5, 3.7, 19.4]) {
+	test(`a server that advertises a limit of ${limitPerS} requests a second does not get more`, {todo: 'KNOWN-RED.txt'}, async t => {
+		const {arrivalsMs} = await offer(t, {perS: 100, durationMs: 10_000, readLimitPerS: () => limitPerS});
+		assert.ok(countMostInWindow(arrivalsMs) <= (ruleFactor * limitPerS * ruleWindowMs / 1000) + ruleSlack, `${countMostInWindow(arrivalsMs)} requests in 4 s`);
+	});
+}
