--- a/core/admission/src/slot-queue.ts
+++ b/core/admission/src/slot-queue.ts
@@ -1,5 +1,6 @@
 import {RankedQueue, type RankedEntry} from './ranked-queue.js';
 import {RateWindow} from './rate-window.js';
+import {TokenBucket} from './token-bucket.js';
 
 /** A request for a slot of the local backend server. */
 export type SlotRequest = {
@@ -23,7 +24,7 @@
 
 /** Why a request got no slot, and after what time the caller may retry. */
 export type SlotRefusal = {
-	readonly reason: 'overloaded' | 'cold' | 'expired' | 'closed';
+	readonly reason: 'overloaded' | 'cold' | 'limited' | 'expired' | 'closed';
 	readonly retryAfterMs: number;
 };
 
@@ -73,6 +74,10 @@
 	#serviceMs = initialServiceMs;
 	readonly #serviceMsByKind = new Map<string, number>();
 	#coldWindow: RateWindow | undefined;
+	/** Starts that the server's rate limit allows; undefined without a limit. */
+	#limitTokens: TokenBucket | undefined;
+	/** Times at which callers refused because of the rate limit were told to retry. */
+	#promisedMs: readonly number[] = [];
 	#closedRetryAfterMs: number | undefined;
 
 	constructor(opts: SlotQueueOpts) {
@@ -92,6 +97,16 @@
 		}
 	}
 
+	/** Limits the rate of starts, warm or cold; undefined removes the limit. */
+	setRateLimit(perS: number | undefined, nowMs: number): void {
+		if (perS === undefined) {
+			this.#limitTokens = undefined;
+			this.#promisedMs = [];
+		} else if (this.#limitTokens?.perS !== perS) {
+			this.#limitTokens = new TokenBucket({perS, nowMs, previous: this.#limitTokens});
+		}
+	}
+
 	/** Starts, queues or refuses the request. The returned function cancels it while it waits. */
 	add(request: SlotRequest, nowMs: number): () => void {
 		const serviceMs = this.#serviceMsByKind.get(request.kind) ?? this.#serviceMs;
@@ -128,7 +143,7 @@
 	startWaiting(nowMs: number): void {
 		for (let next = this.#peek(nowMs); next !== undefined; next = this.#peek(nowMs)) {
 			const isExpired = nowMs + (this.#serviceMs * minRemainingServiceRatio) >= next.endMs;
-			if (!isExpired && (this.#running >= this.#slots || this.#coldWindow?.isFull(nowMs) === true)) {
+			if (!isExpired && (this.#running >= this.#slots || this.#coldWindow?.isFull(nowMs) === true || this.#limitTokens?.hasToken(nowMs) === false)) {
 				return;
 			}
 
@@ -138,6 +153,7 @@
 			} else {
 				this.#running++;
 				this.#coldWindow?.record(nowMs);
+				this.#limitTokens?.consume(nowMs);
 				next.start();
 			}
 		}
@@ -146,7 +162,7 @@
 	/** Refuses late requests, at any position in the queue, that can no longer be answered in time. Called periodically. */
 	expireWaiting(nowMs: number): void {
 		for (const waiting of this.#waiting.pickWhere(each => this.#isOverdue(each, nowMs))) {
-			waiting.refuse(this.#createRefusal(this.#estimateWait(waiting, nowMs)));
+			waiting.refuse(this.#createRefusal(waiting, nowMs));
 		}
 	}
 
@@ -203,25 +219,47 @@
 		}
 
 		this.#setLate(request);
-		const lateWaitMs = this.#estimateWait(request, nowMs);
-		const mayBeLate = nowMs + lateWaitMs + request.serviceMs <= Math.min(request.endMs, request.lateEndMs);
-		return request.mayWait && mayBeLate ? undefined : this.#createRefusal(lateWaitMs);
+		const mayBeLate = nowMs + this.#estimateWait(request, nowMs) + request.serviceMs <= Math.min(request.endMs, request.lateEndMs);
+		return request.mayWait && mayBeLate ? undefined : this.#createRefusal(request, nowMs);
 	}
 
-	#createRefusal(waitMs: number): SlotRefusal {
+	#createRefusal(request: WaitingRequest, nowMs: number): SlotRefusal {
+		const waitMs = this.#estimateWait(request, nowMs);
+		if (this.#limitTokens !== undefined && this.#estimateLimitWait(this.#waiting.measureUpTo(request.rank).count, nowMs) === waitMs) {
+			return {reason: 'limited', retryAfterMs: Math.max(minRetryAfterMs, this.#promiseRetry(request, nowMs))};
+		}
+
 		const reason = this.#coldWindow === undefined ? 'overloaded' : 'cold';
 		return {reason, retryAfterMs: Math.min(maxRetryAfterMs, Math.max(minRetryAfterMs, waitMs))};
 	}
 
+	/** Returns the wait until a start is allowed that neither a waiting request nor a caller told to retry earlier takes. */
+	#promiseRetry({rank, mayWait, endMs}: WaitingRequest, nowMs: number): number {
+		this.#promisedMs = this.#promisedMs.filter(promisedMs => promisedMs > nowMs);
+		const waitMs = this.#estimateLimitWait(this.#waiting.measureUpTo(rank).count + this.#promisedMs.length, nowMs);
+		// A request that may not wait is offered to another server, and a caller whose deadline is earlier does not retry.
+		if (mayWait && nowMs + waitMs < endMs) {
+			this.#promisedMs = [...this.#promisedMs, nowMs + waitMs];
+		}
+
+		return waitMs;
+	}
+
+	/** Estimates the time until the rate limit allows one more start after those ahead of it. */
+	#estimateLimitWait(startsAhead: number, nowMs: number): number {
+		return this.#limitTokens?.estimateWait(startsAhead + 1, nowMs) ?? 0;
+	}
+
 	/** Estimates how long a request waits until the requests ahead of it are done and a slot is free. */
 	#estimateWait({rank}: WaitingRequest, nowMs: number): number {
 		const requestsAhead = this.#waiting.measureUpTo(rank);
 		const coldMs = this.#coldWindow === undefined ? 0 : this.#coldWindow.estimateWait(requestsAhead.count + 1, nowMs);
+		const rateMs = Math.max(coldMs, this.#estimateLimitWait(requestsAhead.count, nowMs));
 		if (this.#running < this.#slots && requestsAhead.count === 0) {
-			return coldMs;
+			return rateMs;
 		}
 
-		return Math.max(coldMs, (requestsAhead.totalServiceMs + this.#serviceMs) / Math.max(1, this.#slots));
+		return Math.max(rateMs, (requestsAhead.totalServiceMs + this.#serviceMs) / Math.max(1, this.#slots));
 	}
 }
 
--- a/core/admission/test/slot-queue.test.ts
+++ b/core/admission/test/slot-queue.test.ts
@@ -203,3 +203,38 @@
 	assert.deepEqual(started, ['late']);
 	assert.equal(refused.length, 0);
 });
+
+test('callers that a rate limit refuses are told different times, and each that retries then is started', () => {
+	const queue = new SlotQueue({slots: 100});
+	const {started, refused, create} = createProbe();
+	queue.setRateLimit(10, 0);
+	for (let index = 0; index < 8; index++) {
+		queue.add(create(`r${index}`, {targetEndMs: 100, lateEndMs: 100}), 0);
+	}
+
+	assert.deepEqual(started, ['r0']);
+	assert.deepEqual(refused.map(([, {reason}]) => reason), Array.from({length: 7}, () => 'limited'));
+	const retries = refused.map(([name, {retryAfterMs}]) => ({name, retryAfterMs})).toSorted((left, right) => left.retryAfterMs - right.retryAfterMs);
+	for (const {name, retryAfterMs} of retries) {
+		queue.add(create(`${name} again`, {targetEndMs: retryAfterMs + 60}), retryAfterMs);
+	}
+
+	assert.deepEqual(started.slice(1), retries.map(({name}) => `${name} again`));
+});
+
+test('a rate limit holds for waiting requests, and its end starts them', () => {
+	const queue = new SlotQueue({slots: 100});
+	const {started, create} = createProbe();
+	queue.setRateLimit(10, 0);
+	for (let index = 0; index < 4; index++) {
+		queue.add(create(`r${index}`), 0);
+	}
+
+	queue.startWaiting(99);
+	assert.equal(started.length, 1);
+	queue.startWaiting(100);
+	assert.equal(started.length, 2);
+	queue.setRateLimit(undefined, 101);
+	queue.startWaiting(101);
+	assert.equal(started.length, 4);
+});
--- a/node/backend-link/src/backend-gate.ts
+++ b/node/backend-link/src/backend-gate.ts
@@ -74,6 +74,7 @@
 			this.#statistics = new BackendStatistics();
 			this.recordLiveness();
 			this.#queue.refuseWaiting('closed');
+			this.#queue.setRateLimit(undefined, this.#readNowMs());
 		}
 
 		this.#backend = backend;
@@ -244,6 +245,7 @@
 		} = classifyResponse(exchange.response);
 		this.#refusedConnections.reset();
 		if (this.#statistics.limit.record(limitPerS, {sentMs, nowMs: this.#readNowMs()})) {
+			this.#queue.setRateLimit(limitPerS, this.#readNowMs());
 			this.#opts.onLimitChange(limitPerS, this.#sentMeter.requestsPerSecond);
 		}
 
--- a/node/ingress/src/routing.ts
+++ b/node/ingress/src/routing.ts
@@ -203,7 +203,7 @@
 		this.#lastOutcome = this.#lastOutcome?.kind === 'unknown' ? this.#lastOutcome : outcome;
 		if (outcome.kind === 'unknown' || outcome.wasOffered) {
 			this.#backendAttempts++;
-		} else if (!mayHaveWaited && (outcome.reason === 'overloaded' || outcome.reason === 'cold')) {
+		} else if (!mayHaveWaited && (outcome.reason === 'overloaded' || outcome.reason === 'cold' || outcome.reason === 'limited')) {
 			this.#fullAddresses.add(entry.address);
 		}
 
