--- a/core/key-ranges/src/classify-backend.ts
+++ b/core/key-ranges/src/classify-backend.ts
@@ -28,6 +28,7 @@
 		isCold: backend.isCold,
 		demand: backend.demand,
 		requestsPerSecond: backend.perS,
+		capacityPerS: backend.capacityPerS,
 		slots: backend.slots,
 		rangeLoads: backend.rangeLoads,
 	};
--- a/core/key-ranges/src/controller-state.ts
+++ b/core/key-ranges/src/controller-state.ts
@@ -42,6 +42,8 @@
 	readonly demand: number;
 	/** Requests offered per second over all its ranges. */
 	readonly requestsPerSecond: number;
+	/** Requests per second that it can serve; undefined if its node does not report it. */
+	readonly capacityPerS?: number | undefined;
 	readonly slots: number;
 	readonly rangeLoads: BackendReport['rangeLoads'];
 };
--- a/core/key-ranges/src/messages.ts
+++ b/core/key-ranges/src/messages.ts
@@ -29,6 +29,8 @@
 	readonly demand: number;
 	/** Requests offered per second over all its ranges. */
 	readonly perS: number;
+	/** Requests per second that it can serve, by its service time and the limit that it advertises. Nodes of earlier versions don't report it. */
+	readonly capacityPerS?: number;
 	/** Its busiest ranges; empty at low load. */
 	readonly rangeLoads: readonly RangeLoad[];
 	/** Version of the assignment that the node last accepted from a controller. */
--- a/core/key-ranges/src/plan-moves.ts
+++ b/core/key-ranges/src/plan-moves.ts
@@ -7,6 +7,9 @@
 /** Limit of moves per relieved server and round; each move interrupts service of its keys for up to one heartbeat interval. */
 const maxMovesPerServer = 24;
 
+/** The same limit for an overloaded server, which refuses many requests for these keys anyway. */
+const maxMovesPerOverloadedServer = 48;
+
 /**
  * Load is moved away from a server whose demand exceeds this share of its slots. Servers differ in speed, and each runs
  * several times slower for short periods: a server at half load has no headroom for that.
@@ -16,6 +19,9 @@
 /** Load is moved only if the demand of the two servers differs by at least this share of slots. */
 const minDemandDifference = 0.15;
 
+/** Servers above this demand refuse requests. All of them are relieved in one round, as far as there are servers to take their load. */
+const overloadDemand = 1;
+
 /** One of this many servers is relieved of load per round. If only one server were relieved per round, overloaded servers in a large service would wait too long. */
 const serversPerRelief = 5;
 
@@ -173,7 +179,8 @@
  */
 function planReliefMoves(view: ServiceView, nowMs: number): readonly PlannedMove[] {
 	const targets = view.backends.filter(({isEligible, isCold}) => isEligible && !isCold).toSorted((left, right) => right.demand - left.demand);
-	const pairs = Math.min(Math.floor(targets.length / 2), Math.max(1, Math.floor(targets.length / serversPerRelief)));
+	const overloaded = targets.filter(({demand}) => demand > overloadDemand).length;
+	const pairs = Math.min(Math.floor(targets.length / 2), Math.max(1, overloaded, Math.floor(targets.length / serversPerRelief)));
 	return targets.slice(0, pairs).flatMap((busy, index) => {
 		const idle = targets.at(-1 - index)!;
 		return busy.demand < minReliefDemand || busy.demand - idle.demand < minDemandDifference
@@ -185,16 +192,17 @@
 }
 
 /**
- * Chooses ranges of the busy server whose load adds up to half of the difference to the idle server: the busiest first, since they move the most load
+ * Chooses ranges of the busy server with as much load as makes both servers equally busy: the busiest first, since they move the most load
  * with the fewest keys, then some of those whose load is too low to be reported.
  */
 function chooseRanges(busy: BackendView, idle: BackendView, segments: readonly Segment[]): readonly KeyRange[] {
-	const wanted = busy.requestsPerSecond * (busy.demand - idle.demand) / 2 / busy.demand;
+	const maxMoves = busy.demand > overloadDemand ? maxMovesPerOverloadedServer : maxMovesPerServer;
+	const wanted = busy.requestsPerSecond * (busy.demand - idle.demand) / busy.demand * deriveMovedShare(busy, idle);
 	const chosen: KeyRange[] = [];
 	let moved = 0;
 	for (const load of busy.rangeLoads.toSorted((left, right) => right.perS - left.perS)) {
 		const part = chooseSubrange(load, wanted - moved, segments.length < maxSegmentsForSplit);
-		if (part !== undefined && chosen.length < maxMovesPerServer && load.perS >= busy.requestsPerSecond * minLoadShare) {
+		if (part !== undefined && chosen.length < maxMoves && load.perS >= busy.requestsPerSecond * minLoadShare) {
 			moved += part.perS;
 			chosen.push(part);
 		}
@@ -203,10 +211,15 @@
 	const reported = new RangeIndex(busy.rangeLoads);
 	const unreported = segments.filter(segment => segment.owner === busy.key && !reported.hasOverlap(segment));
 	const unreportedRatePerRange = Math.max(0, busy.requestsPerSecond - busy.rangeLoads.reduce((sum, {perS}) => sum + perS, 0)) / Math.max(1, unreported.length);
-	const count = unreportedRatePerRange === 0 ? 0 : Math.min(maxMovesPerServer - chosen.length, Math.floor((wanted - moved) / unreportedRatePerRange));
+	const count = unreportedRatePerRange === 0 ? 0 : Math.min(maxMoves - chosen.length, Math.floor((wanted - moved) / unreportedRatePerRange));
 	return [...chosen, ...sortInterleaved(unreported, Math.max(1, Math.floor(unreported.length / Math.max(1, count)))).slice(0, Math.max(0, count))];
 }
 
+/** Derives the share of the difference in load that has to move: half of it between equal servers, less to one that can serve less. */
+function deriveMovedShare({capacityPerS: busyPerS}: BackendView, {capacityPerS: idlePerS}: BackendView): number {
+	return busyPerS === undefined || idlePerS === undefined || busyPerS + idlePerS <= 0 ? 1 / 2 : idlePerS / (busyPerS + idlePerS);
+}
+
 /** Returns the whole range if its load does not exceed `wanted`, otherwise half of it if that fits and the range can be split. */
 function chooseSubrange(load: KeyRange & {readonly perS: number; readonly middleKey: number}, wanted: number, maySplit: boolean): (KeyRange & {readonly perS: number}) | undefined {
 	if (load.perS <= wanted) {
--- a/core/key-ranges/test/plan-moves.test.ts
+++ b/core/key-ranges/test/plan-moves.test.ts
@@ -34,7 +34,7 @@
 	const offeredPerS = rangeLoads.reduce((sum, load) => sum + load.perS, 0);
 	return {
 		key, vmId: key, isEligible: true, mustDrain: false, isCold: false, slots, rangeLoads: rangeLoads.filter(load => load.perS >= 1).slice(0, 24),
-		requestsPerSecond: offeredPerS, demand: offeredPerS * serviceMs / speeds[key]! / 1000 / slots,
+		requestsPerSecond: offeredPerS, demand: offeredPerS * serviceMs / (speeds[key] ?? 1) / 1000 / slots,
 	};
 }
 
@@ -204,3 +204,21 @@
 
 	assert.ok(new Set(moves.map(({owner}) => owner)).size > 50, 'no server releases much');
 });
+
+test('servers that advertise a limit below their load are relieved within two rounds, and no other server is overloaded by it', () => {
+	const owners = ['limited1', 'limited2', 'limited3', 'limited4', 'free1', 'free2'];
+	let map = createRangeMap('s', owners.map(key => ({key, vmId: key})));
+	const createBackends = (): readonly BackendView[] => owners.map(key => {
+		const backend = createBackend(map, key, 270);
+		const capacityPerS = key.startsWith('limited') ? 20 : 112;
+		return {...backend, capacityPerS, demand: backend.requestsPerSecond / capacityPerS};
+	});
+	const measureRefused = (): number => createBackends().reduce((sum, {requestsPerSecond, capacityPerS = 0}) => sum + Math.max(0, requestsPerSecond - capacityPerS), 0);
+	assert.ok(measureRefused() > 90);
+	for (let round = 0; round < 2; round++) {
+		map = applyMoves(map, planMoves({...createView(map, 0), backends: createBackends()}, round * stepMs));
+	}
+
+	assert.ok(measureRefused() < 20, `${measureRefused()} requests a second beyond the limits`);
+	assert.ok(createBackends().every(({key, demand}) => key.startsWith('limited') || demand < 1));
+});
--- a/node/backend-link/src/backend-gate.ts
+++ b/node/backend-link/src/backend-gate.ts
@@ -43,6 +43,11 @@
 /** Retry-After for a server that is silent or refuses connections: within this time the other nodes learn of it and route elsewhere. */
 const unavailableRetryAfterMs = 200;
 
+const msPerSecond = 1000;
+
+/** Least capacity that is reported: the demand on a server that advertises a limit of 0 must stay a number. */
+const minCapacityPerS = 0.1;
+
 const noRanges: readonly KeyRange[] = [];
 
 /**
@@ -149,10 +154,16 @@
 		};
 	}
 
-	/** Offered work as a share of the slots (1 if it would occupy all slots), plus the failure share: a failing server counts as busier than it is. */
+	/** Offered work as a share of what the server can serve, plus the failure share: a failing server counts as busier than it is. */
 	readDemand(): number {
+		return (this.#demandMeter.requestsPerSecond / this.readCapacityPerS()) + this.#statistics.failureShare;
+	}
+
+	/** Requests per second that the server can serve with its slots and within the limit that it advertises. */
+	readCapacityPerS(): number {
 		const {slots} = this.#queue.readLoad();
-		return (this.#demandMeter.requestsPerSecond * this.#statistics.meanServiceTime.readMs() / 1000 / Math.max(1, slots)) + this.#statistics.failureShare;
+		const slotsPerS = Math.max(1, slots) / Math.max(1, this.#statistics.meanServiceTime.readMs()) * msPerSecond;
+		return Math.min(slotsPerS, Math.max(minCapacityPerS, this.readLimitPerS() ?? slotsPerS));
 	}
 
 	/** Rate of the requests that are offered to the server. */
--- a/node/mesh-daemon/src/backend-watch.ts
+++ b/node/mesh-daemon/src/backend-watch.ts
@@ -186,6 +186,7 @@
 			silentMs: Math.round(nowMs - current.lastHeartbeatMs),
 			demand: Math.round(demand * 100) / 100,
 			perS: Math.round((this.#gate?.readOfferedRequestsPerSecond() ?? 0) * 10) / 10,
+			...(this.#gate !== undefined && {capacityPerS: Math.round(this.#gate.readCapacityPerS() * 10) / 10}),
 			rangeLoads: isPartitioned && demand >= minReportedDemand ? this.#gate?.listRangeLoads(this.member.listAssigned()) ?? [] : [],
 			assignmentVersion: this.member.assignmentVersion,
 			stillHeld: isPartitioned ? this.member.listStillHeld(this.#opts.leaseClock.readNowMs()) : [],
