--- a/node/ingress/src/node-statistics.ts
+++ b/node/ingress/src/node-statistics.ts
@@ -8,6 +8,8 @@
 	load: OwnerLoad | undefined;
 	loadReceivedMs: number;
 	unreachableUntilMs: number;
+	/** When the server's request limit allows the next start, according to its latest refusal. */
+	limitedUntilMs: number;
 };
 
 /** Service time assumed until a node reports one. */
@@ -61,6 +63,15 @@
 		return nowMs < this.#get(address).unreachableUntilMs;
 	}
 
+	/** Records that a server refused a request because of its request limit, and when it accepts the next one. */
+	recordLimited(address: string, untilMs: number): void {
+		this.#get(address).limitedUntilMs = untilMs;
+	}
+
+	isLimited(address: string, nowMs: number): boolean {
+		return nowMs < this.#get(address).limitedUntilMs;
+	}
+
 	/** Estimates the response time of the node's backend server, without network transit. */
 	estimateMs({address, backend}: DirectoryEntry, nowMs: number): number {
 		const {inFlight, load, loadReceivedMs} = this.#get(address);
@@ -82,7 +93,7 @@
 		}
 
 		const created: NodeStatistics = {
-			inFlight: 0, load: undefined, loadReceivedMs: Number.NEGATIVE_INFINITY, unreachableUntilMs: Number.NEGATIVE_INFINITY,
+			inFlight: 0, load: undefined, loadReceivedMs: Number.NEGATIVE_INFINITY, unreachableUntilMs: Number.NEGATIVE_INFINITY, limitedUntilMs: Number.NEGATIVE_INFINITY,
 		};
 		this.#byAddress.set(address, created);
 		return created;
--- a/node/ingress/src/routing.ts
+++ b/node/ingress/src/routing.ts
@@ -11,6 +11,7 @@
 import {chooseNode} from './choose-node.js';
 import type {FleetView} from './fleet-view.js';
 import type {NodeStatisticsTable} from './node-statistics.js';
+import {OfferBudget} from './offer-budget.js';
 import {decodeOutcome, encodeOwnerRequest} from './owner-messages.js';
 
 /** A caller's request after its route and service were chosen. */
@@ -47,12 +48,6 @@
 	readonly random: RandomSource;
 };
 
-/**
- * Maximum number of nodes that a request is offered to before it is refused; a refusal by a node costs only a round trip.
- * Only the last node may queue the request, so that it does not wait at one server while another has a free slot.
- */
-const maxOfferedNodes = 3;
-
 /** Retry-After if no server of the service is known. */
 const noNodeRetryAfterMs = 500;
 
@@ -81,7 +76,7 @@
 	readonly #triedAddresses = new Set<string>();
 	/** Tried nodes that had no free slot. */
 	readonly #fullAddresses = new Set<string>();
-	#offeredNodes = 0;
+	readonly #offers = new OfferBudget();
 	readonly #tries: string[] = [];
 	/** Attempts that reached, or may have reached, a backend server. */
 	#backendAttempts = 0;
@@ -113,7 +108,7 @@
 	}
 
 	#sendNext(): void {
-		const isLast = this.#request.isDivided || this.#offeredNodes >= maxOfferedNodes - 1;
+		const isLast = this.#request.isDivided || this.#offers.isLast;
 		const untried = isLast ? undefined : this.#chooseCandidate(false);
 		const entry = untried ?? this.#chooseCandidate(true);
 		if (entry === undefined) {
@@ -122,7 +117,7 @@
 		}
 
 		const mayWait = untried === undefined;
-		this.#offeredNodes++;
+		this.#offers.recordOffered();
 		this.#triedAddresses.add(entry.address);
 		this.#fullAddresses.delete(entry.address);
 		const nowMs = this.#readNowMs();
@@ -209,6 +204,10 @@
 			this.#backendAttempts++;
 		} else if (!mayHaveWaited && (outcome.reason === 'overloaded' || outcome.reason === 'cold' || outcome.reason === 'limited')) {
 			this.#fullAddresses.add(entry.address);
+			if (outcome.reason === 'limited') {
+				this.#offers.recordLimitRefusal();
+				this.#opts.statistics.recordLimited(entry.address, this.#readNowMs() + outcome.retryAfterMs);
+			}
 		}
 
 		if (this.#mayRetry(outcome)) {
@@ -225,7 +224,7 @@
 		}
 
 		if (outcome.kind === 'not-run' && !outcome.wasOffered) {
-			return this.#offeredNodes < maxOfferedNodes;
+			return this.#offers.hasMore;
 		}
 
 		const isAllowed = outcome.kind === 'not-run' || request.isIdempotent;
@@ -249,21 +248,31 @@
 	}
 
 	#chooseLeastBusy(service: string, includeFull: boolean): DirectoryEntry | undefined {
-		const {view, statistics, advertisedStates, random, links, ownAddress, failureDomain} = this.#opts;
+		const {
+			view, statistics, advertisedStates, random, links, ownAddress, failureDomain,
+		} = this.#opts;
 		const nowMs = this.#readNowMs();
 		const isUntried = (entry: DirectoryEntry): boolean =>
 			(!this.#triedAddresses.has(entry.address) || (includeFull && this.#fullAddresses.has(entry.address)))
 			&& !view.isEvacuated(entry.failureDomain) && !advertisedStates.hasLeft(entry, nowMs);
-		const opts = {
-			random,
-			estimateMs: (entry: DirectoryEntry) => statistics.estimateMs(entry, nowMs),
-			isUsable: (entry: DirectoryEntry) => isUntried(entry) && !advertisedStates.isLeaving(entry)
-				&& (entry.address === ownAddress || (!statistics.isUnreachable(entry.address, nowMs) && !links.get(entry.address).isDown())),
-		};
+		const isReachable = (entry: DirectoryEntry): boolean => isUntried(entry) && !advertisedStates.isLeaving(entry)
+			&& (entry.address === ownAddress || (!statistics.isUnreachable(entry.address, nowMs) && !links.get(entry.address).isDown()));
+		const isUnlimited = (entry: DirectoryEntry): boolean => !statistics.isLimited(entry.address, nowMs);
 		const all = view.listNodes(service);
 		const ownDomain = view.listNodes(service, failureDomain);
-		// If no candidate is reachable, fall back to nodes that were recently unreachable.
-		return chooseNode(all, ownDomain, opts) ?? chooseNode(all, ownDomain, {...opts, isUsable: isUntried});
+		// Without a better candidate, the request is sent to a node that was recently unreachable, or waits at a limited server.
+		const preferences: ReadonlyArray<(entry: DirectoryEntry) => boolean> = [
+			entry => isReachable(entry) && isUnlimited(entry),
+			...includeFull ? [isReachable, isUntried] : [(entry: DirectoryEntry): boolean => isUntried(entry) && isUnlimited(entry)],
+		];
+		for (const isUsable of preferences) {
+			const chosen = chooseNode(all, ownDomain, {random, isUsable, estimateMs: entry => statistics.estimateMs(entry, nowMs)});
+			if (chosen !== undefined) {
+				return chosen;
+			}
+		}
+
+		return undefined;
 	}
 
 	#createNoCandidateOutcome(): Outcome {
