--- a/cli/buckthornpoint/src/trace/reasons.ts
+++ b/cli/buckthornpoint/src/trace/reasons.ts
@@ -15,6 +15,7 @@
 const reasons: ReadonlyMap<string, Reason> = new Map<string, Reason>([
 	['overloaded', {meaning: 'the answer would have come after its target'}],
 	['cold', {meaning: 'the server was just started and takes few requests', ownerEvents: ['backend-state']}],
+	['limited', {meaning: 'the server advertises a request limit, and what it allows is taken', ownerEvents: ['backend-limit']}],
 	['expired', {meaning: 'the request was queued until its answer would have been too late'}],
 	['not-held', {
 		meaning: 'the server has no grant for the key now: the key was moved, or the heartbeats of the server are missing',
--- a/node/ingress/src/routing.ts
+++ b/node/ingress/src/routing.ts
@@ -1,6 +1,6 @@
 import type {BackendGate, CancelHandle} from '@buckthornpoint/backend-link/backend-gate.js';
 import {
-	createNotRun, type Outcome, type OutcomeReason, type OwnerLoad, type OwnerRequest,
+	createNotRun, type Outcome, type OwnerLoad, type OwnerRequest,
 } from '@buckthornpoint/backend-link/outcome.js';
 import type {Clock, Timer} from '@buckthornpoint/clock/clock.js';
 import type {RandomSource} from '@buckthornpoint/clock/random.js';
@@ -276,8 +276,13 @@
 	}
 
 	#createNoCandidateOutcome(): Outcome {
-		const reason: OutcomeReason = this.#request.isDivided ? 'no-owner' : 'no-node';
-		return createNotRun(reason, this.#request.isDivided ? noOwnerRetryAfterMs : noNodeRetryAfterMs);
+		const {service, key, isDivided} = this.#request;
+		if (!isDivided) {
+			return createNotRun('no-node', noNodeRetryAfterMs);
+		}
+
+		const hasOwner = key !== undefined && this.#opts.view.findOwner(service, key) !== undefined;
+		return createNotRun(hasOwner ? 'leaving' : 'no-owner', noOwnerRetryAfterMs);
 	}
 
 	#complete(outcome: Outcome): void {
