--- a/core/key-ranges/src/plan-moves.ts
+++ b/core/key-ranges/src/plan-moves.ts
@@ -19,7 +19,7 @@
 /** Load is moved only if the demand of the two servers differs by at least this share of slots. */
 const minDemandDifference = 0.15;
 
-/** Servers above this demand refuse requests. All of them are relieved in one round, as far as there are servers to take their load. */
+/** Servers above this demand refuse requests. All of them are relieved in one round, as far as there are servers below it. */
 const overloadDemand = 1;
 
 /** One of this many servers is relieved of load per round. If only one server were relieved per round, overloaded servers in a large service would wait too long. */
@@ -179,11 +179,11 @@
  */
 function planReliefMoves(view: ServiceView, nowMs: number): readonly PlannedMove[] {
 	const targets = view.backends.filter(({isEligible, isCold}) => isEligible && !isCold).toSorted((left, right) => right.demand - left.demand);
-	const overloaded = targets.filter(({demand}) => demand > overloadDemand).length;
-	const pairs = Math.min(Math.floor(targets.length / 2), Math.max(1, overloaded, Math.floor(targets.length / serversPerRelief)));
-	return targets.slice(0, pairs).flatMap((busy, index) => {
+	const pairs = Math.max(1, Math.floor(targets.length / serversPerRelief));
+	return targets.slice(0, Math.floor(targets.length / 2)).flatMap((busy, index) => {
 		const idle = targets.at(-1 - index)!;
-		return busy.demand < minReliefDemand || busy.demand - idle.demand < minDemandDifference
+		const isRelieved = index < pairs || isOverloadRelief(busy, idle);
+		return !isRelieved || busy.demand < minReliefDemand || busy.demand - idle.demand < minDemandDifference
 			? []
 			: chooseRanges(busy, idle, view.map.segments).map(({from, to}) => ({
 				service: view.map.service, from, to, owner: busy.key, target: idle.key, startedMs: nowMs,
@@ -191,12 +191,17 @@
 	});
 }
 
+/** Whether a move serves more requests at once: between two overloaded servers it only changes whose are refused. */
+function isOverloadRelief(busy: BackendView, idle: BackendView): boolean {
+	return busy.demand > overloadDemand && idle.demand < overloadDemand;
+}
+
 /**
  * Chooses ranges of the busy server with as much load as makes both servers equally busy: the busiest first, since they move the most load
  * with the fewest keys, then some of those whose load is too low to be reported.
  */
 function chooseRanges(busy: BackendView, idle: BackendView, segments: readonly Segment[]): readonly KeyRange[] {
-	const maxMoves = busy.demand > overloadDemand ? maxMovesPerOverloadedServer : maxMovesPerServer;
+	const maxMoves = isOverloadRelief(busy, idle) ? maxMovesPerOverloadedServer : maxMovesPerServer;
 	const wanted = busy.requestsPerSecond * (busy.demand - idle.demand) / busy.demand * deriveMovedShare(busy, idle);
 	const chosen: KeyRange[] = [];
 	let moved = 0;
--- a/core/key-ranges/test/plan-moves.test.ts
+++ b/core/key-ranges/test/plan-moves.test.ts
@@ -222,3 +222,11 @@
 	assert.ok(measureRefused() < 20, `${measureRefused()} requests a second beyond the limits`);
 	assert.ok(createBackends().every(({key, demand}) => key.startsWith('limited') || demand < 1));
 });
+
+test('when all servers of a service are overloaded, at most one server in five gives keys away in a round', () => {
+	const owners = Array.from({length: 10}, (_, index) => `limited${index}`);
+	const map = createRangeMap('s', owners.map(key => ({key, vmId: key})));
+	const backends = owners.map((key, index): BackendView => ({...createBackend(map, key, 500), capacityPerS: 20 + (2 * index), demand: 50 / (20 + (2 * index))}));
+	const moves = planMoves({...createView(map, 0), backends}, 0);
+	assert.deepEqual([...new Set(moves.map(({owner}) => owner))], ['limited0', 'limited1']);
+});
