--- a/core/admission/src/advertised-limit.ts
+++ b/core/admission/src/advertised-limit.ts
@@ -31,8 +31,8 @@
 		return hasChanged;
 	}
 
-	/** Adopts the limit that another node knows, until the first answer. Returns whether it was adopted. */
-	adopt(perS: number): boolean {
+	/** Applies the limit that another node knows, until the first answer. Returns whether it was applied. */
+	applyPeerLimit(perS: number): boolean {
 		if (this.#hasAnswer || this.#perS !== undefined) {
 			return false;
 		}
--- a/node/backend-link/src/backend-gate.ts
+++ b/node/backend-link/src/backend-gate.ts
@@ -79,7 +79,7 @@
 	/** Records a liveness signal, such as a heartbeat. */
 	recordLiveness(): void {
 		this.#silenceWatch.recordLiveness();
-		this.#refusedConnections.reset();
+		this.#refusedConnections.recordLiveness();
 	}
 
 	/** Runs a request at the backend server or refuses it with a reason. Calls `finish` once. */
@@ -87,7 +87,7 @@
 		const nowMs = this.#readNowMs();
 		this.#demandMeter.recordOffered(request.key);
 		if (request.advertised !== undefined) {
-			this.#advertisement?.adopt(request.advertised, nowMs);
+			this.#advertisement?.applyPeerState(request.advertised, nowMs);
 		}
 
 		const refusal = checkRequest(request, this.#backend, {nowMs, isArriving: true, isHeld: this.#opts.isHeld})
@@ -245,7 +245,7 @@
 
 		const {outcome, coldMs, slowness, ...state} = classifyResponse(exchange.response);
 		const nowMs = this.#readNowMs();
-		this.#refusedConnections.reset();
+		this.#refusedConnections.recordLiveness();
 		advertisement?.record(state, {sentMs, nowMs});
 		if (slowness !== undefined) {
 			this.#statistics.slowness.record(slowness, nowMs);
--- a/node/backend-link/src/refused-connections.ts
+++ b/node/backend-link/src/refused-connections.ts
@@ -20,7 +20,7 @@
 	}
 
 	/** Records a liveness signal. */
-	reset(): void {
+	recordLiveness(): void {
 		this.#count = 0;
 	}
 }
--- a/node/backend-link/src/server-advertisement.ts
+++ b/node/backend-link/src/server-advertisement.ts
@@ -39,13 +39,13 @@
 		}
 	}
 
-	/** Adopts what another node knows of the server. A process that has just started has no answer yet that tells it. */
-	adopt({key, limitPerS, leavingForMs}: AdvertisedState, nowMs: number): void {
+	/** Applies what another node knows of the server. A process that has just started has no answer yet that tells it. */
+	applyPeerState({key, limitPerS, leavingForMs}: AdvertisedState, nowMs: number): void {
 		if (key !== this.key) {
 			return;
 		}
 
-		if (limitPerS !== undefined && this.#limit.adopt(limitPerS)) {
+		if (limitPerS !== undefined && this.#limit.applyPeerLimit(limitPerS)) {
 			this.#opts.onLimitChange(limitPerS, nowMs);
 		}
 
--- a/node/backend-link/test/advertised-limit.test.ts
+++ b/node/backend-link/test/advertised-limit.test.ts
@@ -19,7 +19,7 @@
 type Result = {readonly arrivalsMs: readonly number[]; readonly outcomes: ReadonlyArray<{readonly outcome: Outcome; readonly tookMs: number}>};
 
 /** Offers requests at a constant rate to a server that answers immediately and advertises a limit. */
-async function offer(t: TestContext, {perS, durationMs, readLimitPerS, waitMs = 0}: Load): Promise<Result> {
+async function sendLoad(t: TestContext, {perS, durationMs, readLimitPerS, waitMs = 0}: Load): Promise<Result> {
 	const clock = new ManualClock();
 	const readNowMs = (): number => clock.readTimestamp().monotonicMs;
 	const arrivalsMs: number[] = [];
@@ -77,20 +77,20 @@
 
 for (const limitPerS of [0.5, 3.7, 19.4]) {
 	test(`a server that advertises a limit of ${limitPerS} requests a second does not get more`, async t => {
-		const {arrivalsMs} = await offer(t, {perS: 100, durationMs: 10_000, readLimitPerS: () => limitPerS});
+		const {arrivalsMs} = await sendLoad(t, {perS: 100, durationMs: 10_000, readLimitPerS: () => limitPerS});
 		assert.ok(countMostInWindow(arrivalsMs) <= (ruleFactor * limitPerS * ruleWindowMs / 1000) + ruleSlack, `${countMostInWindow(arrivalsMs)} requests in 4 s`);
 	});
 }
 
 test('a server that advertises a limit of 0 gets an occasional request, which shows when the limit has ended', async t => {
-	const {arrivalsMs} = await offer(t, {perS: 100, durationMs: 20_000, readLimitPerS: nowMs => nowMs < 10_000 ? 0 : undefined});
+	const {arrivalsMs} = await sendLoad(t, {perS: 100, durationMs: 20_000, readLimitPerS: nowMs => nowMs < 10_000 ? 0 : undefined});
 	assert.ok(arrivalsMs.filter(timeMs => timeMs > 100 && timeMs < 10_000).length <= 3);
 	assert.ok(arrivalsMs.filter(timeMs => timeMs > 15_000).length >= 400);
 });
 
 test('a limit that falls holds after the longest time that the rule allows, and one that rises or ends is used within a second', async t => {
 	const readLimitPerS = (nowMs: number): number | undefined => [[4000, 20], [10_000, 4], [14_000, 40]].find(([endMs]) => nowMs < (endMs ?? 0))?.[1];
-	const {arrivalsMs} = await offer(t, {perS: 100, durationMs: 18_000, readLimitPerS});
+	const {arrivalsMs} = await sendLoad(t, {perS: 100, durationMs: 18_000, readLimitPerS});
 	const countBetween = (fromMs: number, toMs: number): number => arrivalsMs.filter(timeMs => timeMs >= fromMs && timeMs < toMs).length;
 	assert.ok(countBetween(1000, 4000) <= 61 && countBetween(1000, 4000) >= 55, `${countBetween(1000, 4000)}`);
 	assert.ok(countBetween(4500, 9500) <= 21 && countBetween(4500, 9500) >= 18, `${countBetween(4500, 9500)}`);
@@ -99,7 +99,7 @@
 });
 
 test('a request beyond the limit that can not be served in time is refused on arrival', async t => {
-	const {outcomes} = await offer(t, {perS: 100, durationMs: 4000, readLimitPerS: () => 20});
+	const {outcomes} = await sendLoad(t, {perS: 100, durationMs: 4000, readLimitPerS: () => 20});
 	const refused = outcomes.flatMap(({outcome, tookMs}) => outcome.kind === 'not-run' ? [{...outcome, tookMs}] : []);
 	assert.ok(refused.length > 250);
 	assert.ok(refused.every(({reason, tookMs, wasOffered}) => reason === 'limited' && tookMs === 0 && !wasOffered));
--- a/node/mesh-daemon/test/answer-state.test.ts
+++ b/node/mesh-daemon/test/answer-state.test.ts
@@ -68,7 +68,7 @@
 	};
 }
 
-/** The node beside a server. `restart` replaces its gate by a new one, as a new process has it. */
+/** The node beside a server. `replaceGate` replaces its gate by a new one, as a new process has it. */
 class OwnerNode {
 	readonly peers: PeerServer;
 	/** Server instances reported as leaving, by all gates. */
@@ -97,7 +97,7 @@
 		return this.#gate;
 	}
 
-	restart(): void {
+	replaceGate(): void {
 		this.#gate.close();
 		this.#gate = this.#createGate();
 	}
@@ -154,7 +154,7 @@
 
 	await sendBurst('first');
 	for (let restart = 0; restart < 4; restart++) {
-		owner.restart();
+		owner.replaceGate();
 		await clock.sleep(100);
 		await sendBurst(`restart-${restart}`);
 	}
@@ -180,10 +180,10 @@
 		});
 	});
 	assert.equal(await send('a'), 'answer');
-	owner.restart();
+	owner.replaceGate();
 	assert.equal(await send('b'), 'answer');
 	assert.deepEqual(owner.leaving, [serverKey, serverKey]);
-	owner.restart();
+	owner.replaceGate();
 	await clock.sleep(leavingSendMs);
 	assert.equal(await send('c'), 'not-run');
 	assert.equal(server.arrivalsMs.length, 2);
