--- a/core/key-ranges/src/messages.ts
+++ b/core/key-ranges/src/messages.ts
@@ -25,7 +25,7 @@
 	readonly isCold: boolean;
 	/** Milliseconds since its last heartbeat. */
 	readonly silentMs: number;
-	/** Offered load as a share of its slots; above 1 it is overloaded. */
+	/** Offered load as a share of what it can serve; above 1 it is overloaded. */
 	readonly demand: number;
 	/** Requests offered per second over all its ranges. */
 	readonly perS: number;
--- a/core/key-ranges/src/plan-moves.ts
+++ b/core/key-ranges/src/plan-moves.ts
@@ -11,12 +11,12 @@
 const maxMovesPerOverloadedServer = 48;
 
 /**
- * Load is moved away from a server whose demand exceeds this share of its slots. Servers differ in speed, and each runs
+ * Load is moved away from a server whose demand exceeds this share of its capacity. Servers differ in speed, and each runs
  * several times slower for short periods: a server at half load has no headroom for that.
  */
 const minReliefDemand = 0.4;
 
-/** Load is moved only if the demand of the two servers differs by at least this share of slots. */
+/** Load is moved only if the demand of the two servers differs by at least this share of capacity. */
 const minDemandDifference = 0.15;
 
 /** Servers above this demand refuse requests. All of them are relieved in one round, as far as there are servers below it. */
--- a/node/mesh-daemon/src/backend-watch.ts
+++ b/node/mesh-daemon/src/backend-watch.ts
@@ -23,7 +23,7 @@
 	readonly onChange: () => void;
 };
 
-/** Demand, as a share of the slots, below which the load of a server's ranges is not reported: its keys are then not moved because of load. */
+/** Demand, as a share of what the server can serve, below which the load of a server's ranges is not reported: its keys are then not moved because of load. */
 const minReportedDemand = 0.3;
 
 /** Tracks the state of the local backend server from its announcements, grants key ranges to it, and passes its state on to the gate. */
--- a/node/mesh-daemon/src/node-metrics.ts
+++ b/node/mesh-daemon/src/node-metrics.ts
@@ -46,7 +46,7 @@
 		this.#addGauge('buckthornpoint_outstanding', 'Requests that run or wait at the backend server beside', () => sources.gate.readLoad().outstanding);
 		this.#addGauge('buckthornpoint_service_seconds', 'Time that a run at the backend server takes', () => sources.gate.readLoad().serviceMs / millisecondsPerSecond);
 		this.#addGauge('buckthornpoint_failure_share', 'Share of the latest requests that the backend server failed or refused', () => sources.gate.readLoad().failureShare);
-		this.#addGauge('buckthornpoint_demand', 'Work offered to the backend server as a share of its slots', () => sources.gate.readDemand());
+		this.#addGauge('buckthornpoint_demand', 'Requests offered to the backend server as a share of what it can serve', () => sources.gate.readDemand());
 		this.#addGauge('buckthornpoint_limit_per_second', 'Advertised request limit of the backend server; -1 without a limit', () => sources.gate.readLimitPerS() ?? noLimit);
 		this.#addGauge('buckthornpoint_sent_per_second', 'Requests per second that were sent to the backend server', () => sources.gate.readSentRequestsPerSecond());
 		this.#addGauge('buckthornpoint_controller', '1 while this node is the controller', () => sources.isController() ? 1 : 0);
