--- a/core/admission/src/slot-queue.ts
+++ b/core/admission/src/slot-queue.ts
@@ -104,6 +104,7 @@
 			this.#promisedMs = [];
 		} else if (this.#limitTokens?.perS !== perS) {
 			this.#limitTokens = new TokenBucket({perS, nowMs, previous: this.#limitTokens});
+			this.#refuseUnservable(nowMs);
 		}
 	}
 
@@ -185,6 +186,20 @@
 		};
 	}
 
+	/** Refuses waiting requests that the rate limit no longer lets through in time. */
+	#refuseUnservable(nowMs: number): void {
+		let startsAhead = 0;
+		const refused = this.#waiting.pickWhere(({serviceMs, endMs, targetEndMs, lateEndMs}) => {
+			const answerMs = nowMs + this.#estimateLimitWait(startsAhead, nowMs) + serviceMs;
+			const isServable = answerMs <= Math.min(endMs, Math.max(targetEndMs, lateEndMs));
+			startsAhead += isServable ? 1 : 0;
+			return !isServable;
+		});
+		for (const waiting of refused) {
+			waiting.refuse(this.#createRefusal(waiting, nowMs));
+		}
+	}
+
 	/** Returns the next request. Requests that can no longer meet their target are moved behind those that can. */
 	#peek(nowMs: number): WaitingRequest | undefined {
 		let next = this.#waiting.peek();
--- a/core/admission/test/slot-queue.test.ts
+++ b/core/admission/test/slot-queue.test.ts
@@ -238,3 +238,19 @@
 	queue.startWaiting(101);
 	assert.equal(started.length, 4);
 });
+
+test('waiting requests that a new or lower rate limit does not let through in time are refused at once', () => {
+	const queue = new SlotQueue({slots: 4});
+	const {started, refused, create} = createProbe();
+	for (let index = 0; index < 20; index++) {
+		queue.add(create(`r${index}`, {targetEndMs: 600, lateEndMs: 600}), 0);
+	}
+
+	assert.deepEqual([started.length, refused.length], [4, 0]);
+	// One start is free at once and 10 a second after it; a run takes 50 ms, so six of the 16 start in time.
+	queue.setRateLimit(10, 0);
+	assert.deepEqual(refused.map(([name]) => name), Array.from({length: 10}, (_, index) => `r${index + 10}`));
+	assert.ok(refused.every(([, {retryAfterMs}]) => retryAfterMs >= 550));
+	queue.setRateLimit(4, 0);
+	assert.equal(refused.length, 13);
+});
