--- a/node/cell-link/src/control-task.ts
+++ b/node/cell-link/src/control-task.ts
@@ -13,6 +13,8 @@
 	= | {readonly kind: 'took-over'; readonly epoch: number; readonly afterVm: string; readonly waitMs: number}
 		| {readonly kind: 'stepped-down'; readonly epoch: number; readonly reason: string}
 		| {readonly kind: 'maps-written'; readonly epoch: number; readonly maps: string}
+		/** After a failed write the rows were read: `version` is that of the controller's row, `heldVersion` the one of its last acknowledged write. */
+		| {readonly kind: 'read-back'; readonly epoch: number; readonly version: number; readonly heldVersion: number; readonly maps: string}
 		| {readonly kind: 'moves-planned'; readonly epoch: number; readonly moves: string}
 		| {readonly kind: 'store-failed'; readonly operation: string; readonly problem: string}
 		| {readonly kind: 'store-regained'; readonly awayMs: number}
@@ -248,7 +250,11 @@
 		} else if (readBack.value.kind === 'lost') {
 			this.#stepDown(`the controller lease is lost: epoch ${readBack.value.epoch} is in the store`);
 		} else {
-			this.#requestOwnerHeartbeats(controller, readBack.value.written.flatMap(map => controller.recordWrittenMap(map)));
+			const {written, rowVersion, heldVersion} = readBack.value;
+			this.#opts.onEvent({
+				kind: 'read-back', epoch: controller.epoch, version: rowVersion, heldVersion, maps: written.map(({service, version}) => `${service} ${version}`).join(', '),
+			});
+			this.#requestOwnerHeartbeats(controller, written.flatMap(map => controller.recordWrittenMap(map)));
 		}
 	}
 
--- a/node/cell-link/src/controller-lease.ts
+++ b/node/cell-link/src/controller-lease.ts
@@ -40,7 +40,9 @@
 export type ControllerSearchResult = {readonly kind: 'other'; readonly address: string} | {readonly kind: 'taken'; readonly takeover: Takeover} | {readonly kind: 'contested'};
 
 /** State of the stored rows after a write that failed or whose outcome is unknown. */
-export type ReadBackResult = {readonly kind: 'held'; readonly written: readonly RangeMap[]} | {readonly kind: 'lost'; readonly epoch: number};
+export type ReadBackResult
+	= | {readonly kind: 'held'; readonly written: readonly RangeMap[]; readonly rowVersion: number; readonly heldVersion: number}
+		| {readonly kind: 'lost'; readonly epoch: number};
 
 /** No other node takes over within this time after a renewal. A lost controller is thus replaced after about 4 s. */
 export const controllerTermMs = 3000;
@@ -179,7 +181,9 @@
 			maxStoreTimeMs: read.value.nowMs,
 			storeTimeSampledAtMs: sentMs,
 		};
-		return ok({kind: 'held', written: decodeMaps(changed).maps});
+		return ok({
+			kind: 'held', written: decodeMaps(changed).maps, rowVersion: row.version, heldVersion: held.rowVersion,
+		});
 	}
 
 	/** Releases the lease so that another node can take over immediately. `leaseMs` is the longest lease granted to a node; the caller grants none after this. */
--- a/node/cell-link/src/routes-task.ts
+++ b/node/cell-link/src/routes-task.ts
@@ -13,6 +13,8 @@
 		/** All changes up to this version of the store have been reported. */
 		| {readonly kind: 'caught-up'; readonly version: number}
 		| {readonly kind: 'invalid'; readonly problem: string}
+		/** A row was not applied, since the node has applied version `appliedVersion` of it. */
+		| {readonly kind: 'ignored'; readonly key: string; readonly version: number; readonly appliedVersion: number}
 		| {readonly kind: 'store-failed'; readonly problem: string}
 		| {readonly kind: 'store-regained'; readonly awayMs: number};
 
@@ -129,7 +131,14 @@
 	}
 
 	#applyRow({key, value, version}: StoredRow): void {
-		if (version <= (this.#rowVersions.get(key) ?? 0)) {
+		const appliedVersion = this.#rowVersions.get(key) ?? 0;
+		if (version <= appliedVersion) {
+			if (version < appliedVersion) {
+				this.#opts.onChange({
+					kind: 'ignored', key, version, appliedVersion,
+				});
+			}
+
 			return;
 		}
 
--- a/node/cell-link/test/routes-task.test.ts
+++ b/node/cell-link/test/routes-task.test.ts
@@ -20,6 +20,10 @@
 	readonly reads: Array<Answer<Snapshot>> = [];
 	readonly watches: Array<{readonly after: number; readonly waitMs: number; readonly answer: Answer<TableChanges>}> = [];
 
+	override get era(): number {
+		return 0;
+	}
+
 	override readTable(): ResultAsync<Snapshot, StoreFailure> {
 		return new ResultAsync(new Promise(resolve => {
 			this.reads.push(resolve);
@@ -48,7 +52,7 @@
 
 function createSnapshot(version: number, rows: ReadonlyArray<readonly [key: string, value: string | undefined, version: number]>): Snapshot {
 	return {
-		version, nowMs: 0, rows: rows.map(([key, value, rowVersion]) => ({
+		version, nowMs: 0, era: 0, rows: rows.map(([key, value, rowVersion]) => ({
 			table: 'op', key, value, version: rowVersion,
 		})),
 	};
--- a/node/cell-link/test/simulated-store.ts
+++ b/node/cell-link/test/simulated-store.ts
@@ -58,7 +58,9 @@
 		}
 
 		this.#schedule(answerMs, () => {
-			finish(ok({rows: [...this.#rows.values()].filter(row => row.table === table), version: this.#version, nowMs: this.#readNowMs()}));
+			finish(ok({
+				rows: [...this.#rows.values()].filter(row => row.table === table), version: this.#version, nowMs: this.#readNowMs(), era: 0,
+			}));
 		});
 	}
 
@@ -93,7 +95,7 @@
 			});
 		}
 
-		return ok({version: this.#version, nowMs: this.#readNowMs()});
+		return ok({version: this.#version, nowMs: this.#readNowMs(), era: 0});
 	}
 
 	#isUnavailable(vmId: string): boolean {
@@ -111,6 +113,10 @@
 		this.#vmId = vmId;
 	}
 
+	override get era(): number {
+		return 0;
+	}
+
 	override readTable(table: string): ResultAsync<Snapshot, StoreFailure> {
 		return new ResultAsync(new Promise(resolve => {
 			this.#store.read(this.#vmId, table, resolve);
--- a/node/log/src/events.ts
+++ b/node/log/src/events.ts
@@ -26,6 +26,9 @@
 		| {readonly event: 'control-event'; readonly kind: string; readonly detail: string}
 		| {readonly event: 'store-lost'; readonly by: string; readonly message: string}
 		| {readonly event: 'store-regained'; readonly by: string; readonly awayMs: number}
+		| {readonly event: 'store-era'; readonly era: number; readonly earlierEra: number | undefined}
+		| {readonly event: 'store-era-invalid'; readonly message: string}
+		| {readonly event: 'operator-row-ignored'; readonly key: string; readonly version: number; readonly appliedVersion: number}
 		| {readonly event: 'routes-in-force'; readonly version: number; readonly routes: number; readonly from: 'store' | 'peer'}
 		| {readonly event: 'operator-row-invalid'; readonly message: string}
 		| {readonly event: 'evacuation'; readonly failureDomains: readonly string[]; readonly version: number; readonly from: 'store' | 'controller'}
@@ -78,6 +81,9 @@
 	'control-event': 'info',
 	'store-lost': 'warn',
 	'store-regained': 'info',
+	'store-era': 'warn',
+	'store-era-invalid': 'error',
+	'operator-row-ignored': 'info',
 	'routes-in-force': 'info',
 	'operator-row-invalid': 'error',
 	evacuation: 'info',
--- a/node/mesh-daemon/src/apply-operator-change.ts
+++ b/node/mesh-daemon/src/apply-operator-change.ts
@@ -43,6 +43,13 @@
 			break;
 		}
 
+		case 'ignored': {
+			log.write({
+				event: 'operator-row-ignored', key: change.key, version: change.version, appliedVersion: change.appliedVersion,
+			});
+			break;
+		}
+
 		case 'store-failed': {
 			log.write({event: 'store-lost', by: 'routes', message: change.problem});
 			break;
--- /dev/null
+++ b/node/mesh-daemon/src/create-connections.ts
@@ -0,0 +1,31 @@
+import type {Clock} from '@buckthornpoint/clock/clock.js';
+import {RowStore} from '@buckthornpoint/fleet/row-store.js';
+import type {Log} from '@buckthornpoint/log/log.js';
+import {PeerLinks} from '@buckthornpoint/peers/peer-links.js';
+import {logEraEvent} from './log-decisions.js';
+
+/** Creates the client of the platform's store at `address`, host and port. */
+export function createStore(address: string, log: Log): RowStore {
+	return new RowStore(address, {
+		onEraEvent(event) {
+			logEraEvent(log, event);
+		},
+	});
+}
+
+/** Creates the links to the other nodes. `incarnation` identifies this node process. */
+export function createPeerLinks(incarnation: string, {clock, log}: {readonly clock: Clock; readonly log: Log}): PeerLinks {
+	return new PeerLinks({
+		clock,
+		name: incarnation,
+		onDisconnect(address, reason) {
+			log.write({event: 'peer-failed', vmId: address, message: `${reason}; a new connection takes its place`});
+		},
+		onUnreachable(address, reason) {
+			log.write({event: 'peer-failed', vmId: address, message: reason});
+		},
+		onProblem(address, message) {
+			log.write({event: 'internal-error', message: `${address}: ${message}`});
+		},
+	});
+}
--- a/node/mesh-daemon/src/log-decisions.ts
+++ b/node/mesh-daemon/src/log-decisions.ts
@@ -1,4 +1,5 @@
 import type {ControlEvent} from '@buckthornpoint/cell-link/control-task.js';
+import type {StoreEraEvent} from '@buckthornpoint/fleet/fleet-store.js';
 import type {FinishedRequest} from '@buckthornpoint/ingress/finished-request.js';
 import type {Log} from '@buckthornpoint/log/log.js';
 
@@ -14,6 +15,15 @@
 	}
 }
 
+/** Logs a change of the store's era. */
+export function logEraEvent(log: Log, event: StoreEraEvent): void {
+	if (event.kind === 'era-began') {
+		log.write({event: 'store-era', era: event.era, earlierEra: event.earlierEra});
+	} else {
+		log.write({event: 'store-era-invalid', message: `${event.problem}; the latest era is kept`});
+	}
+}
+
 /** Logs a request that got no answer from a backend server, and the facts behind the outcome. */
 export function logRequest(log: Log, {outcome, ...facts}: FinishedRequest): void {
 	switch (outcome) {
--- a/node/mesh-daemon/src/mesh-node.ts
+++ b/node/mesh-daemon/src/mesh-node.ts
@@ -6,19 +6,20 @@
 import {MemberTask, type ControlCall, type NodeNotice} from '@buckthornpoint/cell-link/member-task.js';
 import {RoutesFetch, RoutesSource, type RoutesCall} from '@buckthornpoint/cell-link/routes-fetch.js';
 import {RoutesTask} from '@buckthornpoint/cell-link/routes-task.js';
-import {RowStore} from '@buckthornpoint/fleet/row-store.js';
+import type {RowStore} from '@buckthornpoint/fleet/row-store.js';
 import {CallerServer} from '@buckthornpoint/ingress/caller-server.js';
 import {FleetView} from '@buckthornpoint/ingress/fleet-view.js';
 import {NodeStatisticsTable} from '@buckthornpoint/ingress/node-statistics.js';
 import {RequestRouter} from '@buckthornpoint/ingress/request-router.js';
 import type {Log} from '@buckthornpoint/log/log.js';
 import {splitAddress} from '@buckthornpoint/peers/split-address.js';
-import {PeerLinks} from '@buckthornpoint/peers/peer-links.js';
+import type {PeerLinks} from '@buckthornpoint/peers/peer-links.js';
 import {PeerServer} from '@buckthornpoint/peers/peer-server.js';
 import {handleAnnouncement} from './handle-announcement.js';
 import {applyDocument, applyOperatorChange, type OperatorChangeOpts} from './apply-operator-change.js';
 import {BackendWatch} from './backend-watch.js';
 import {ControllerReplies} from './controller-replies.js';
+import {createPeerLinks, createStore} from './create-connections.js';
 import {createGate} from './create-gate.js';
 import {createHeartbeat} from './create-heartbeat.js';
 import {handlePeerRequest} from './handle-peer-request.js';
@@ -81,7 +82,7 @@
 		this.#settings = settings;
 		this.#opts = opts;
 		this.#timeouts = deriveTimeouts(settings);
-		this.#store = new RowStore(settings.store);
+		this.#store = createStore(settings.store, opts.log);
 		this.#leaseClock = new LeaseClock(opts.clock);
 		this.#watch = new BackendWatch({
 			settings, timeouts: this.#timeouts, clock: opts.clock, leaseClock: this.#leaseClock, view: this.#view, log: opts.log, onChange: () => {
@@ -89,19 +90,7 @@
 			},
 		});
 		this.#gate = createGate(settings, opts.clock, this.#watch);
-		this.#links = new PeerLinks({
-			clock: opts.clock,
-			name: opts.incarnation,
-			onDisconnect(address, reason) {
-				opts.log.write({event: 'peer-failed', vmId: address, message: `${reason}; a new connection takes its place`});
-			},
-			onUnreachable(address, reason) {
-				opts.log.write({event: 'peer-failed', vmId: address, message: reason});
-			},
-			onProblem(address, message) {
-				opts.log.write({event: 'internal-error', message: `${address}: ${message}`});
-			},
-		});
+		this.#links = createPeerLinks(opts.incarnation, opts);
 		this.#peers = this.#createPeerServer();
 		this.#router = new RequestRouter({
 			ownAddress: settings.listen.peers,
