--- a/tools/soak/src/run-schedule.ts
+++ b/tools/soak/src/run-schedule.ts
@@ -62,6 +62,20 @@
 			return;
 		}
 
+		case 'return': {
+			const disruption = disruptions.open('store', clock.readTimestamp().monotonicMs);
+			onEvent(`store: away for ${fault.awayMs} ms`);
+			store.setCondition({kind: 'refusing'});
+			await clock.sleep(fault.awayMs);
+			onEvent(`store: back from a copy of ${fault.copyAgeMs} ms before it went away`);
+			store.loadCopy(fault.awayMs + fault.copyAgeMs);
+			store.setCondition({kind: 'up'});
+			await clock.sleep(fault.repairDelayMs);
+			fleet.writeConfiguration();
+			disruption.close(clock.readTimestamp().monotonicMs);
+			return;
+		}
+
 		case 'link': {
 			const disruption = disruptions.open('store', clock.readTimestamp().monotonicMs);
 			onEvent(`link of vm-${fault.node}: ${JSON.stringify(fault.condition)}`);
--- a/tools/soak/src/schedule.ts
+++ b/tools/soak/src/schedule.ts
@@ -12,20 +12,23 @@
 	| {readonly kind: 'store'; readonly condition: StoreCondition; readonly forMs: number}
 	/** The operator writes a new version of the configuration, or the store removes its change history. */
 	| {readonly kind: 'change'; readonly isHistoryLost: boolean}
+	/** The store is away, returns from a copy of the given age, and the operator writes its rows again after a delay. */
+	| {readonly kind: 'return'; readonly awayMs: number; readonly copyAgeMs: number; readonly repairDelayMs: number}
 	/** A fault of the connection between one node and the store. */
 	| {readonly kind: 'link'; readonly node: number; readonly condition: LinkCondition; readonly forMs: number}
 );
 
 /** Selects the kinds of fault series in a schedule. */
-export type Mix = 'planned' | 'planned-and-store' | 'all';
+export type Mix = 'planned' | 'planned-and-store' | 'all' | 'returns';
 
 /** Kind of a series of similar faults. */
-type Series = 'stops' | 'reloads' | 'changes' | 'kills' | 'pauses' | 'store' | 'links';
+type Series = 'stops' | 'reloads' | 'changes' | 'kills' | 'pauses' | 'store' | 'links' | 'returns';
 
 /** A kind listed twice is picked twice as often. */
 const seriesOfMix: Readonly<Record<Mix, readonly Series[]>> = {
 	planned: ['stops', 'stops', 'reloads', 'changes'],
 	'planned-and-store': ['stops', 'stops', 'reloads', 'changes', 'store', 'links'],
+	returns: ['returns', 'returns', 'returns', 'stops', 'changes', 'kills', 'kills', 'pauses', 'links'],
 	all: ['stops', 'stops', 'reloads', 'changes', 'kills', 'kills', 'pauses', 'store', 'links'],
 };
 
@@ -37,6 +40,8 @@
 const maxPauseMs = 4000;
 const maxStoreFaultMs = 6000;
 const maxDelayMs = 900;
+const maxCopyAgeMs = 9000;
+const maxRepairDelayMs = 1500;
 const maxReloads = 6;
 const maxChanges = 5;
 const historyLossShare = 0.3;
@@ -52,9 +57,9 @@
 	return faults.filter(fault => fault.atMs < durationMs).toSorted((a, b) => a.atMs - b.atMs);
 }
 
-/** Picks a mix at random. */
+/** Picks a mix at random. Returns of the store are played on request only: more mixes would change the faults of the seeds that are kept. */
 export function pickMix(random: RandomSource): Mix {
-	const mixes = Object.keys(seriesOfMix) as Mix[]; // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion
+	const mixes: readonly Mix[] = ['planned', 'planned-and-store', 'all'];
 	return mixes[random.generateIntegerBelow(mixes.length)]!;
 }
 
@@ -92,6 +97,12 @@
 			}];
 		}
 
+		case 'returns': {
+			return [{
+				atMs: 0, kind: 'return', awayMs: generateTimeMs(random, maxStoreFaultMs / 2), copyAgeMs: generateTimeMs(random, maxCopyAgeMs), repairDelayMs: generateTimeMs(random, maxRepairDelayMs),
+			}];
+		}
+
 		case 'links': {
 			const conditions: readonly LinkCondition[] = [{kind: 'cut'}, {kind: 'silent'}, {kind: 'one-way'}, {kind: 'delayed', delayMs: generateTimeMs(random, maxDelayMs)}];
 			return generateSteps(random, pickNodes(random, nodes, nodes), maxStepGapMs / 2).map(step => ({
