fix: serve no older configuration from the copy on a node that starts after a return

Change: the first configuration waits for the first reply of a controller, 0.5 s at most, and for the fetch that the reply may start. Tests: a node that waits applies nothing; without the wait it applied version 6.

--- a/node/cell-link/src/member-task.ts
+++ b/node/cell-link/src/member-task.ts
@@ -46,6 +46,9 @@
 /** Timeout of a heartbeat call. A reply that arrives later is still applied. */
 const replyTimeoutMs = 450;
 
+/** How long a node that starts waits for a controller, which usually replies within 50 ms. */
+const firstReplyTimeoutMs = 500;
+
 /** A controller that has not replied for this long, or not reached the store for this long, is looked up again. */
 const controllerTimeoutMs = 1200;
 
@@ -70,6 +73,7 @@
 	#isClosed = false;
 	#nextSearchMs = Number.NEGATIVE_INFINITY;
 	#storeUnreachableSinceMs: number | undefined;
+	readonly #firstReply = new AbortController();
 
 	constructor(opts: MemberTaskOpts) {
 		this.#opts = opts;
@@ -79,6 +83,13 @@
 		this.#startTimer(0);
 	}
 
+	/** Waits for the first reply of a controller, for a limited time. */
+	async waitForReply(): Promise<void> {
+		if (!this.#firstReply.signal.aborted) {
+			await this.#opts.clock.sleep(firstReplyTimeoutMs, this.#firstReply.signal);
+		}
+	}
+
 	/** Sends a heartbeat soon, to report a change to the controller. */
 	requestHeartbeat(): void {
 		this.#isHeartbeatRequested = true;
@@ -201,6 +212,7 @@
 		}
 
 		this.#opts.applyReply(answer.reply, sentMs, backend);
+		this.#firstReply.abort();
 		if (answer.reply.mustReportHeld === true) {
 			this.requestHeartbeat();
 		}
--- a/node/cell-link/src/routes-fetch.ts
+++ b/node/cell-link/src/routes-fetch.ts
@@ -45,6 +45,7 @@
 	/** A node that has the wanted version, if known. It is queried first. */
 	#holder: string | undefined;
 	#isRunning = false;
+	#lastRun: Promise<void> = Promise.resolve();
 	#isClosed = false;
 
 	constructor(opts: RoutesFetchOpts) {
@@ -57,10 +58,15 @@
 		this.#wantedVersion = Math.max(this.#wantedVersion, version);
 		if (!this.#isRunning && !this.#isDone()) {
 			this.#isRunning = true;
-			void this.#run();
+			this.#lastRun = this.#run();
 		}
 	}
 
+	/** Waits until the running fetch, if any, has got the version or given up. */
+	async waitUntilDone(): Promise<void> {
+		await this.#lastRun;
+	}
+
 	close(): void {
 		this.#isClosed = true;
 	}
--- a/node/cell-link/src/routes-task.ts
+++ b/node/cell-link/src/routes-task.ts
@@ -31,6 +31,8 @@
 	readonly random: RandomSource;
 	/** Whether a controller that reaches the store replies to this node: it then forwards changes that the watch misses. */
 	readonly isFollowing: () => boolean;
+	/** Waits until this node has got later routes from other nodes, if they have any. After a return of the store it may show routes that are older. */
+	readonly waitForLaterRoutes: () => Promise<void>;
 	/** Lists the failure domains that count as evacuated on this node. */
 	readonly listEvacuated: () => readonly string[];
 	readonly onChange: (change: OperatorChange) => void;
@@ -121,6 +123,10 @@
 		}
 
 		this.#recordStoreSuccess();
+		if (this.#era === undefined) {
+			await this.#opts.waitForLaterRoutes();
+		}
+
 		if (read.value.era !== this.#era) {
 			this.#startEra(read.value);
 		}
--- a/node/cell-link/test/routes-task.test.ts
+++ b/node/cell-link/test/routes-task.test.ts
@@ -60,13 +60,25 @@
 	};
 }
 
-function openTask(isFollowing = () => false): {readonly store: ScriptedStore; readonly clock: ManualClock; readonly task: RoutesTask; readonly changes: OperatorChange[]} {
+type Fixture = {readonly store: ScriptedStore; readonly clock: ManualClock; readonly task: RoutesTask; readonly changes: OperatorChange[]};
+
+async function skipWait(): Promise<void> {
+	// No other node has routes.
+}
+
+function openTask(isFollowing = () => false, waitForLaterRoutes = skipWait): Fixture {
 	const store = new ScriptedStore();
 	const clock = new ManualClock();
 	const changes: OperatorChange[] = [];
 	const evacuated = new Set<string>();
 	const task = new RoutesTask({
-		store, clock, random: new SeededRandom(1), isFollowing, listEvacuated: () => [...evacuated], onChange(change) {
+		store,
+		clock,
+		random: new SeededRandom(1),
+		isFollowing,
+		waitForLaterRoutes,
+		listEvacuated: () => [...evacuated],
+		onChange(change) {
 			if (change.kind === 'evacuation' && change.isEvacuated) {
 				evacuated.add(change.domain);
 			} else if (change.kind === 'evacuation') {
@@ -264,3 +276,15 @@
 	assert.deepEqual(listEvacuations(changes), [['a', true]]);
 	task.close();
 });
+
+test('a node that starts after a return of the store does not serve the older configuration of the copy before other nodes could send a later one', async () => {
+	const waited = new AbortController();
+	const {store, task, changes} = openTask(undefined, async () => new ManualClock().sleep(1000, waited.signal));
+	store.reads[0]?.(ok(createSnapshot(20, [['config', createConfiguration(6), 18]], 2)));
+	await setImmediate();
+	assert.deepEqual(listRouteVersions(changes), []);
+	waited.abort();
+	await setImmediate();
+	assert.deepEqual(listRouteVersions(changes), [6]);
+	task.close();
+});
--- a/node/ingress/src/fleet-view.ts
+++ b/node/ingress/src/fleet-view.ts
@@ -150,6 +150,11 @@
 		return this.#addresses;
 	}
 
+	/** Lists the addresses of the other nodes. */
+	listPeers(ownAddress: string): readonly string[] {
+		return [...this.#addresses].filter(address => address !== ownAddress);
+	}
+
 	#applyMap(update: RangeMapUpdate): readonly string[] {
 		if ('since' in update) {
 			this.#applyMapChanges(update);
--- a/node/mesh-daemon/src/mesh-node.ts
+++ b/node/mesh-daemon/src/mesh-node.ts
@@ -139,6 +139,10 @@
 			clock: opts.clock,
 			random: opts.random,
 			isFollowing: () => this.#member.isFollowing,
+			waitForLaterRoutes: async () => {
+				await this.#member.waitForReply();
+				await this.#routesFetch.waitUntilDone();
+			},
 			listEvacuated: () => this.#view.getEvacuation().domains,
 			onChange(change) {
 				applyOperatorChange(change, operatorChanges);
@@ -148,7 +152,7 @@
 			links: this.#links,
 			clock: opts.clock,
 			random: opts.random,
-			listPeers: () => [...this.#view.listAddresses()].filter(address => address !== settings.listen.peers),
+			listPeers: () => this.#view.listPeers(settings.listen.peers),
 			getVersion: () => this.#view.routeTable?.version ?? 0,
 			apply(document) {
 				applyDocument(document, operatorChanges);
@@ -248,8 +252,7 @@
 				this.#links.notify(addresses, {} satisfies NodeNotice);
 			},
 			announceTakeover: epoch => {
-				const {peers} = this.#settings.listen;
-				this.#links.notify([...this.#view.listAddresses()].filter(address => address !== peers), {controller: {address: peers, epoch}} satisfies NodeNotice);
+				this.#links.notify(this.#view.listPeers(this.#settings.listen.peers), {controller: {address: this.#settings.listen.peers, epoch}} satisfies NodeNotice);
 			},
 			onEvent: event => {
 				logControlEvent(this.#opts.log, event);
