--- a/node/mesh-daemon/src/mesh-node.ts
+++ b/node/mesh-daemon/src/mesh-node.ts
@@ -125,6 +125,7 @@
 			isController: () => this.#control.isLeading,
 			getRoutesVersion: () => this.#view.routeTable?.version ?? 0,
 			countAssignedRanges: () => this.#watch.member.listAssigned().length,
+			getStoreEra: () => this.#store.era,
 		});
 		this.#metricsServer = new SimpleHttpServer(async () => ({status: statusOk, body: await this.#metrics.render(), contentType: 'text/plain; version=0.0.4'}));
 		const operatorChanges: OperatorChangeOpts = {
@@ -203,11 +204,10 @@
 	}
 
 	close(): void {
-		const parts = [this.#routes, this.#routesFetch, this.#member, this.#control, this.#gate, this.#links, this.#peers, this.#callers, this.#readiness, this.#announcements, this.#metricsServer];
-		this.#timer?.close();
+		const parts = [this.#timer, this.#routes, this.#routesFetch, this.#member, this.#control, this.#gate, this.#links, this.#peers, this.#callers, this.#readiness, this.#announcements, this.#metricsServer];
 		this.#router.stop();
 		for (const part of parts) {
-			part.close();
+			part?.close();
 		}
 
 		void this.#store.close();
--- a/node/mesh-daemon/src/node-metrics.ts
+++ b/node/mesh-daemon/src/node-metrics.ts
@@ -10,6 +10,7 @@
 	readonly isController: () => boolean;
 	readonly getRoutesVersion: () => number;
 	readonly countAssignedRanges: () => number;
+	readonly getStoreEra: () => number;
 };
 
 /** Upper bounds of the latency histogram. They cover the latency targets of the deployments, 0.06 to 0.6 s, and their deadlines. */
@@ -51,6 +52,7 @@
 		this.#addGauge('buckthornpoint_sent_per_second', 'Requests per second that were sent to the backend server', () => sources.gate.readSentRequestsPerSecond());
 		this.#addGauge('buckthornpoint_controller', '1 while this node is the controller', () => sources.isController() ? 1 : 0);
 		this.#addGauge('buckthornpoint_routes_version', 'Version of the routes in force', () => sources.getRoutesVersion());
+		this.#addGauge('buckthornpoint_store_era', 'Era of the store; it rises each time the store returns from an older copy', () => sources.getStoreEra());
 		this.#addGauge('buckthornpoint_assigned_ranges', 'Ranges that the backend server is to hold', () => sources.countAssignedRanges());
 	}
 
