fix: keep the bound of an unknown controller's leases across a takeover

A successor in the same era trusted the maps and gave ranges without a living owner away at once. Change: the bound is noted before the row is written, and the row calls the maps current only when it has passed, so that a successor recovers from what servers hold. Owners' VMs count as possible places of that controller too. An evacuation that another node keeps for less than a second is not taken up any more: it ended and began anew. Test: after an outage of 5 s the row names era 1 for its maps and a bound of over 20 s; before, era 2 and no bound.

--- a/core/key-ranges/src/lease-table.ts
+++ b/core/key-ranges/src/lease-table.ts
@@ -58,10 +58,10 @@
 	}
 
 	/**
-	 * Records that another controller, of which this one does not know, may have granted leases until `endMs`. Owners whose
-	 * nodes go on following this controller have no other lease.
+	 * Records that another controller, of which this one does not know, may have granted leases until `endMs`; it may run on any of
+	 * the VMs. Owners whose nodes go on following this controller have no other lease.
 	 */
-	recordUnknownController(endMs: number, vmIds: ReadonlySet<string>): void {
+	recordUnknownController(endMs: number, vmIds: readonly string[]): void {
 		for (const [owner, lease] of this.#leases) {
 			this.#leases.set(owner, {...lease, mayHaveEarlierLease: true});
 		}
--- a/core/key-ranges/src/range-controller.ts
+++ b/core/key-ranges/src/range-controller.ts
@@ -59,9 +59,9 @@
 		return this.#leases.earlierLeasesEndMs;
 	}
 
-	/** Whether the maps may still be older than what their owners hold. */
-	get isRecovering(): boolean {
-		return this.#recovery !== undefined;
+	/** Returns whether the maps name everybody who may hold a range; not so for a time after the store returned from an older copy. */
+	areMapsCurrent(nowMs: number): boolean {
+		return this.#recovery === undefined && !this.#leases.mayHaveUnknownLeases(nowMs);
 	}
 
 	get maps(): readonly RangeMap[] {
@@ -185,7 +185,7 @@
 
 	/** Records that a controller of which this one does not know may have granted leases until `endMs`. */
 	recordUnknownController(endMs: number): void {
-		this.#leases.recordUnknownController(endMs, this.#vms.listVmIds());
+		this.#leases.recordUnknownController(endMs, [...this.#vms.listVmIds(), ...this.maps.flatMap(({vmIdByOwner}) => [...vmIdByOwner.values()])]);
 	}
 
 	/** Grants the ranges that nobody reported once no lease of an earlier controller can be in force. */
--- a/core/key-ranges/src/vm-table.ts
+++ b/core/key-ranges/src/vm-table.ts
@@ -29,8 +29,8 @@
 		return this.#vms.size;
 	}
 
-	listVmIds(): ReadonlySet<string> {
-		return new Set(this.#vms.keys());
+	listVmIds(): readonly string[] {
+		return [...this.#vms.keys()];
 	}
 
 	/** Returns whether a heartbeat is from a node process that was replaced by another on its VM. Start times can't order the processes, since clocks may be set back. */
--- a/node/cell-link/src/control-task.ts
+++ b/node/cell-link/src/control-task.ts
@@ -192,7 +192,7 @@
 		}
 
 		const written = await this.#lease.write({
-			maps, earlierLeasesMs: controller.earlierLeasesEndMs - this.#readNowMs(), areMapsCurrent: !controller.isRecovering,
+			maps, earlierLeasesMs: controller.earlierLeasesEndMs - this.#readNowMs(), areMapsCurrent: controller.areMapsCurrent(this.#readNowMs()),
 		});
 		if (this.#controller !== controller) {
 			return;
@@ -219,11 +219,15 @@
 	/** Writes the controller's state again after the store returned from a copy: this node knows more than the copy does. */
 	async #renewInEra(controller: RangeController): Promise<void> {
 		const {era: earlierEra} = this.#lease;
-		const renewalAgeMs = this.#lease.measureRenewalAgeMs();
+		if (this.#lease.measureRenewalAgeMs() >= controllerTermMs * (1 - maxClockDrift)) {
+			// Another node may have taken over before the store returned, and its rows are lost.
+			controller.recordUnknownController(this.#readNowMs() + leaseHorizonMs);
+		}
+
 		const continued = await this.#lease.renewInEra(era => ({
 			maps: controller.maps.map(map => updateEra(map, era)),
 			earlierLeasesMs: controller.earlierLeasesEndMs - this.#readNowMs(),
-			areMapsCurrent: !controller.isRecovering,
+			areMapsCurrent: controller.areMapsCurrent(this.#readNowMs()),
 		}));
 		if (this.#controller !== controller) {
 			return;
@@ -237,11 +241,6 @@
 			this.#outage.recordSuccess();
 			const {written: maps, rowVersion, heldVersion} = continued.value;
 			controller.startEra(this.#lease.era, maps);
-			if (renewalAgeMs >= controllerTermMs * (1 - maxClockDrift)) {
-				// Another node may have taken over before the store returned, and its rows are lost.
-				controller.recordUnknownController(this.#readNowMs() + leaseHorizonMs);
-			}
-
 			this.#opts.onEvent({
 				kind: 'continued', epoch: controller.epoch, era: this.#lease.era, earlierEra, version: rowVersion, heldVersion,
 				maps: formatMaps(maps),
--- a/node/cell-link/src/routes-task.ts
+++ b/node/cell-link/src/routes-task.ts
@@ -50,6 +50,9 @@
 /** Limit of the exponential backoff, which applies only while the controller forwards missed changes. */
 const maxFollowerRetryDelayMs = 2400;
 
+/** An evacuation that another node keeps for less than this is about to end there, and is not taken up. */
+const minRetentionMs = 1000;
+
 /** Number of versions of a row that are remembered, to recognize the row if the store returns from a copy with one of them. */
 const maxRememberedVersions = 16;
 
@@ -88,7 +91,7 @@
 	/** Keeps evacuations that another node knows from an earlier era, unless their rows were written in this era. */
 	addRetained(evacuations: readonly RetainedEvacuation[]): void {
 		for (const {domain, remainingMs} of evacuations) {
-			if (!this.#contradicted.has(domain) && !this.#rowVersions.has(formatEvacuationKey(domain))) {
+			if (remainingMs > minRetentionMs && !this.#contradicted.has(domain) && !this.#rowVersions.has(formatEvacuationKey(domain))) {
 				this.#contradicted.add(domain, true, remainingMs);
 				this.#reportEvacuation(domain, true, this.#version);
 			}
--- a/node/cell-link/test/control-task.test.ts
+++ b/node/cell-link/test/control-task.test.ts
@@ -83,3 +83,33 @@
 		task.close();
 	}
 });
+
+async function readRecord({store, clock}: Fixture): Promise<ControllerRecord> {
+	return new Promise(resolve => {
+		store.read('vm-2', cellTable, read => {
+			resolve(decodeControllerRecord(read._unsafeUnwrap().rows.find(({key}) => key === controllerKey)?.value ?? '')._unsafeUnwrap());
+		});
+		clock.advance(10);
+	});
+}
+
+test('a successor of a controller that went on after a return does not trust its maps while an unknown controller\'s leases may run', async () => {
+	for (const outageMs of [500, 5000]) {
+		const fixture = openTask();
+		const {task, store, clock} = fixture;
+		const search = task.findController();
+		await run(clock, 100);
+		await search;
+		await run(clock, 3000);
+		store.faults.isDown = true;
+		await run(clock, outageMs);
+		store.loadCopy(outageMs + 1000);
+		store.faults.isDown = false;
+		await run(clock, 1500);
+		const record = await readRecord(fixture);
+		assert.equal(record.era, 2);
+		assert.equal(record.mapsEra === 2, outageMs < 3000, `after an outage of ${outageMs} ms: maps of era ${record.mapsEra}`);
+		assert.equal(record.earlierLeasesEndMs > clock.readTimestamp().monotonicMs + 20_000, outageMs > 3000);
+		task.close();
+	}
+});
