fix: recognize an ended evacuation in the copy at a second return as well

Found by reading: after a first return the versions in which a row had been seen were forgotten, so that a second return took the same old row for a new order and emptied the failure domain again. Test: the end of an evacuation holds over two returns; before, it was taken up again at the second.

--- a/node/cell-link/src/routes-task.ts
+++ b/node/cell-link/src/routes-task.ts
@@ -190,6 +190,7 @@
 			const domain = parseEvacuationKey(row.key);
 			if (domain !== undefined && !evacuated.has(domain) && seenVersions.get(row.key)?.includes(row.version) === true) {
 				this.#rowVersions.set(row.key, row.version);
+				this.#seenVersions.set(row.key, [row.version]);
 				this.#recordContradiction(domain, false);
 			}
 		}
--- a/node/cell-link/test/routes-task.test.ts
+++ b/node/cell-link/test/routes-task.test.ts
@@ -264,6 +264,12 @@
 		store.reads[1]?.(ok(createSnapshot(36, [['evacuate/a', '{}', rowVersion]], 2)));
 		await setImmediate();
 		assert.equal(listEvacuations(changes).at(-1)?.[1], rowVersion === 36, `row version ${rowVersion}`);
+		store.currentEra = 3;
+		store.watches[2]?.answer(ok({kind: 'history-lost'}));
+		await setImmediate();
+		store.reads[2]?.(ok(createSnapshot(36, [['evacuate/a', '{}', rowVersion]], 3)));
+		await setImmediate();
+		assert.equal(listEvacuations(changes).at(-1)?.[1], rowVersion === 36, `row version ${rowVersion}, after another return`);
 		task.close();
 	}
 });
