--- a/core/key-ranges/src/range-controller.ts
+++ b/core/key-ranges/src/range-controller.ts
@@ -60,7 +60,7 @@
 	}
 
 	/** Returns whether the maps name everybody who may hold a range; not so for a time after the store returned from an older copy. */
-	areMapsCurrent(nowMs: number): boolean {
+	hasCurrentMaps(nowMs: number): boolean {
 		return this.#recovery === undefined && !this.#leases.mayHaveUnknownLeases(nowMs);
 	}
 
--- a/node/cell-link/src/control-task.ts
+++ b/node/cell-link/src/control-task.ts
@@ -192,7 +192,7 @@
 		}
 
 		const written = await this.#lease.write({
-			maps, earlierLeasesMs: controller.earlierLeasesEndMs - this.#readNowMs(), areMapsCurrent: controller.areMapsCurrent(this.#readNowMs()),
+			maps, earlierLeasesMs: controller.earlierLeasesEndMs - this.#readNowMs(), areMapsCurrent: controller.hasCurrentMaps(this.#readNowMs()),
 		});
 		if (this.#controller !== controller) {
 			return;
@@ -227,7 +227,7 @@
 		const continued = await this.#lease.renewInEra(era => ({
 			maps: controller.maps.map(map => updateEra(map, era)),
 			earlierLeasesMs: controller.earlierLeasesEndMs - this.#readNowMs(),
-			areMapsCurrent: controller.areMapsCurrent(this.#readNowMs()),
+			areMapsCurrent: controller.hasCurrentMaps(this.#readNowMs()),
 		}));
 		if (this.#controller !== controller) {
 			return;
--- a/node/cell-link/test/routes-task.test.ts
+++ b/node/cell-link/test/routes-task.test.ts
@@ -62,11 +62,11 @@
 
 type Fixture = {readonly store: ScriptedStore; readonly clock: ManualClock; readonly task: RoutesTask; readonly changes: OperatorChange[]};
 
-async function skipWait(): Promise<void> {
+async function waitForNothing(): Promise<void> {
 	// No other node has routes.
 }
 
-function openTask(isFollowing = () => false, waitForLaterRoutes = skipWait): Fixture {
+function openTask(isFollowing = () => false, waitForLaterRoutes = waitForNothing): Fixture {
 	const store = new ScriptedStore();
 	const clock = new ManualClock();
 	const changes: OperatorChange[] = [];
--- a/node/mesh-daemon/src/mesh-node.ts
+++ b/node/mesh-daemon/src/mesh-node.ts
@@ -204,9 +204,9 @@
 	}
 
 	close(): void {
-		const parts = [this.#timer, this.#routes, this.#routesFetch, this.#member, this.#control, this.#gate, this.#links, this.#peers, this.#callers, this.#readiness, this.#announcements, this.#metricsServer];
+		const tasks = [this.#timer, this.#routes, this.#routesFetch, this.#member, this.#control];
 		this.#router.stop();
-		for (const part of parts) {
+		for (const part of [...tasks, this.#gate, this.#links, this.#peers, this.#callers, this.#readiness, this.#announcements, this.#metricsServer]) {
 			part?.close();
 		}
 
