--- a/review/common/harness.mjs
+++ b/review/common/harness.mjs
@@ -402,6 +402,12 @@
 		return this.#releasing;
 	}
 
+	/** The rows that the server holds or is still working on. */
+	listHeld() {
+		this.expireHolds();
+		return [...this.#rows, ...this.#releasing];
+	}
+
 	isHeld(key) {
 		this.expireHolds();
 		return this.#rows.some(([from, to]) => from <= key && key <= to);
@@ -450,7 +456,9 @@
 			}
 		}
 
-		this.#scheduleHeartbeat(this.#releasing.length + this.#released.length > 0 ? 90 : heartbeatMs - (performance.now() - sentMs));
+		// A heartbeat that isn't acknowledged is sent again soon: there is no other node to call.
+		const isUrgent = answer === undefined || this.#releasing.length + this.#released.length > 0;
+		this.#scheduleHeartbeat(isUrgent ? 90 : heartbeatMs - (performance.now() - sentMs));
 	}
 
 	#handle(incoming, response, bodyBytes) {
