--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -3,14 +3,14 @@
 	createConfiguration, hasTrouble, runCase, sleep,
 } from '../common/harness.mjs';
 
-const rounds = 3;
+const rounds = 4;
 const maxOverlapMs = 500;
 const darkMs = 5500;
 
 await runCase(import.meta.dirname, async ({record, store, createMachine, createBackend, createClient}) => {
 	const staying = await createMachine({name: 'sidecar-b-1', zone: 'b', service: 'katalogus'});
 	const evacuated = await createMachine({name: 'sidecar-a-1', zone: 'a', service: 'katalogus'});
-	const dark = await Promise.all([1, 2, 3].map(number => createMachine({name: `sidecar-c-${number}`, zone: 'c', service: 'szamla'})));
+	const dark = await Promise.all([1, 2, 3, 4].map(number => createMachine({name: `sidecar-c-${number}`, zone: 'c', service: 'szamla'})));
 	const machines = [staying, evacuated, ...dark];
 	store.writeOperatorRow('config', createConfiguration(3, {
 		routes: [
