Bring the review's scripts in line with the linter

The linter reads all modules of the repository. Formatting by its own fixes; names of the platform's interfaces are exempt in the files that use them.

--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -1,3 +1,4 @@
+/* eslint-disable camelcase, no-await-in-loop, no-unmodified-loop-condition -- names of the platform's interfaces; steps of a script follow one another */
 // A node process is killed and started again while the zone of its backend server is evacuated, and another zone is without power.
 import {
 	createConfiguration, hasTrouble, runCase, sleep,
@@ -14,9 +15,15 @@
 	const machines = [staying, evacuated, ...dark];
 	store.writeOperatorRow('config', createConfiguration(3, {
 		routes: [
-			{name: 'r-design', host: 'design.example', prefix: '/design/', route_kind: 'idempotent', timeout_s: 1.5, target_latency_s: 0.5, priority: 2, service: 'katalogus', max_attempts: 2},
+			{
+				name: 'r-design', host: 'design.example', prefix: '/design/', route_kind: 'idempotent', timeout_s: 1.5, target_latency_s: 0.5, priority: 2, service: 'katalogus', max_attempts: 2,
+			},
 		],
-		services: [{name: 'katalogus', max_conns: 100, cold_start_s: 3, cold_per_s: 24, is_sharded: true, warmup_s: 3, grants: 'heartbeat'}, {name: 'szamla', max_conns: 100, cold_start_s: 3, cold_per_s: 24}],
+		services: [{
+			name: 'katalogus', max_conns: 100, cold_start_s: 3, cold_per_s: 24, is_sharded: true, warmup_s: 3, grants: 'heartbeat',
+		}, {
+			name: 'szamla', max_conns: 100, cold_start_s: 3, cold_per_s: 24,
+		}],
 	}));
 	const backends = machines.map((machine, index) => createBackend(machine, {id: `i-${index + 1}`, isSharded: index < 2, getWorkMs: () => 60}));
 	const [holder2, holder1] = backends;
@@ -57,7 +64,9 @@
 		longestMs = Math.max(longestMs, performance.now() - sinceMs);
 	}, 10);
 	const client = createClient(staying, 'design');
-	client.startLoad(40, () => ({method: 'GET', host: 'design.example', path: '/design/1', key: Math.floor(Math.random() * 65_536), deadlineMs: 3000}));
+	client.startLoad(40, () => ({
+		method: 'GET', host: 'design.example', path: '/design/1', key: Math.floor(Math.random() * 65_536), deadlineMs: 3000,
+	}));
 	await sleep(1000);
 	for (let round = 1; round <= rounds && longestMs <= maxOverlapMs; round++) {
 		record.write(`round ${round}: i-1 holds ${countKeys(holder2)} keys, i-2 holds ${countKeys(holder1)} keys`);
--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -1,4 +1,6 @@
+/* eslint-disable camelcase, no-await-in-loop, no-void -- names of the platform's interfaces; steps of a script follow one another */
 // A backend server refuses a request without running it, and a copy of the refusal comes late on the kept connection.
+import {Buffer} from 'node:buffer';
 import {
 	createConfiguration, hasTrouble, runCase, sleep,
 } from '../common/harness.mjs';
@@ -15,9 +17,15 @@
 	const machines = [owner1, owner2, entry];
 	store.writeOperatorRow('config', createConfiguration(3, {
 		routes: [
-			{name: 'r-print', host: 'print.example', prefix: '/print/', route_kind: 'non_idempotent', timeout_s: 2, target_latency_s: 0.6, priority: 1, service: 'nyomda', max_attempts: 2},
+			{
+				name: 'r-print', host: 'print.example', prefix: '/print/', route_kind: 'non_idempotent', timeout_s: 2, target_latency_s: 0.6, priority: 1, service: 'nyomda', max_attempts: 2,
+			},
 		],
-		services: [{name: 'nyomda', max_conns: 100, cold_start_s: 3, cold_per_s: 24, is_sharded: true, warmup_s: 3, grants: 'heartbeat'}, {name: 'szamla', max_conns: 100, cold_start_s: 3, cold_per_s: 24}],
+		services: [{
+			name: 'nyomda', max_conns: 100, cold_start_s: 3, cold_per_s: 24, is_sharded: true, warmup_s: 3, grants: 'heartbeat',
+		}, {
+			name: 'szamla', max_conns: 100, cold_start_s: 3, cold_per_s: 24,
+		}],
 	}));
 	let count = 0;
 	const shed = new Set();
@@ -63,7 +71,9 @@
 	// A job that was answered with a promise is sent once more, with a new id, as the pages have it.
 	const sendJob = async () => {
 		const number = ++job;
-		const request = {method: 'POST', host: 'print.example', path: `/print/${number}`, key: Math.floor(Math.random() * 65_536), deadlineMs: 4000, body: Buffer.alloc(300, 'x')};
+		const request = {
+			method: 'POST', host: 'print.example', path: `/print/${number}`, key: Math.floor(Math.random() * 65_536), deadlineMs: 4000, body: Buffer.alloc(300, 'x'),
+		};
 		const first = await client.send(request);
 		jobOf.set(first.id, number);
 		if (first.status === 503) {
--- a/review/4/case.mjs
+++ b/review/4/case.mjs
@@ -1,4 +1,6 @@
+/* eslint-disable camelcase, no-await-in-loop -- names of the platform's interfaces; steps of a script follow one another */
 // A node is killed right after it acknowledged that its backend server leaves. Other machines send requests to that server after `drain_s`.
+import {Buffer} from 'node:buffer';
 import {
 	bounds, createConfiguration, hasTrouble, runCase, sleep,
 } from '../common/harness.mjs';
@@ -9,9 +11,15 @@
 	const entry = await createMachine({name: 'sidecar-c-1', zone: 'c', service: 'szamla'});
 	store.writeOperatorRow('config', createConfiguration(3, {
 		routes: [
-			{name: 'r-print', host: 'print.example', prefix: '/print/', route_kind: 'non_idempotent', timeout_s: 2, target_latency_s: 0.6, priority: 1, service: 'nyomda', max_attempts: 2},
+			{
+				name: 'r-print', host: 'print.example', prefix: '/print/', route_kind: 'non_idempotent', timeout_s: 2, target_latency_s: 0.6, priority: 1, service: 'nyomda', max_attempts: 2,
+			},
 		],
-		services: [{name: 'nyomda', max_conns: 100, cold_start_s: 3, cold_per_s: 24}, {name: 'szamla', max_conns: 100, cold_start_s: 3, cold_per_s: 24}],
+		services: [{
+			name: 'nyomda', max_conns: 100, cold_start_s: 3, cold_per_s: 24,
+		}, {
+			name: 'szamla', max_conns: 100, cold_start_s: 3, cold_per_s: 24,
+		}],
 	}));
 	const leaver = createBackend(leaving, {id: 'i-1'});
 	const others = [createBackend(staying, {id: 'i-2'}), createBackend(entry, {id: 'i-3'})];
@@ -28,7 +36,9 @@
 	await Promise.all([staying, entry].map(machine => machine.waitUntilReady()));
 	await sleep(4000);
 	const client = createClient(entry, 'job');
-	client.startLoad(50, () => ({method: 'POST', host: 'print.example', path: '/print/1', deadlineMs: 4000, body: Buffer.alloc(300, 'x')}));
+	client.startLoad(50, () => ({
+		method: 'POST', host: 'print.example', path: '/print/1', deadlineMs: 4000, body: Buffer.alloc(300, 'x'),
+	}));
 	await sleep(3000);
 
 	// A heartbeat of before the leave call is under way, and arrives 2 s late.
