--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -10,6 +10,9 @@
 /** A copy follows on 2.5% of the answers; `garble` spoils 3% at most. */
 const shedInterval = 40;
 
+/** One of the two servers of the service is faulty, for as long as `garble` lasts at most. */
+const faultyMs = 5000;
+
 await runCase(import.meta.dirname, async ({record, store, createMachine, createBackend, createClient}) => {
 	const owner1 = await createMachine({name: 'sidecar-a-1', zone: 'a', service: 'nyomda'});
 	const owner2 = await createMachine({name: 'sidecar-b-1', zone: 'b', service: 'nyomda'});
@@ -28,11 +31,16 @@
 		}],
 	}));
 	let count = 0;
+	let faultyFromMs = Number.POSITIVE_INFINITY;
 	const shed = new Set();
 	const createOne = (machine, index) => {
 		const backend = createBackend(machine, {
 			id: `i-${index + 1}`, isSharded: index < 2,
 			onRequest(request, response) {
+				if (index !== 0 || performance.now() < faultyFromMs || performance.now() >= faultyFromMs + faultyMs) {
+					return false;
+				}
+
 				count++;
 				// Sheds one request in forty, once; the queue is not full any more when the request comes again.
 				if (count % shedInterval !== 0 || shed.has(request.id)) {
@@ -85,8 +93,10 @@
 
 	const timer = setInterval(() => {
 		void sendJob();
-	}, 25);
-	await sleep(15_000);
+	}, 10);
+	await sleep(3000);
+	faultyFromMs = performance.now();
+	await sleep(faultyMs + 1000);
 	clearInterval(timer);
 	await sleep(5000);
 	// An arrival that was shed is no run.
