fix: keep a server's keys reported as held until its node has routes

Cause: a node learns from its routes alone that a service is divided by key. Until it had routes, BackendWatch.createReport treated the service as not divided, and reported neither keys that the server may still hold (stillHeld) nor those that it holds (held). "Not known" was reported as "none". The controller reads a report that names its latest assignment and no held keys as a release.

Ruled out: a late heartbeat of the server (RangeMember assumes all keys as held for the time of a grant after a start; it was not asked), and the fences (they rose from 1 to 2 as they should).

Change: without routes the node reports what RangeMember knows, as for a divided service, and records the holdings that heartbeats report although it grants nothing yet. Nothing waits longer: with routes, reports and grants are what they were.

--- a/core/key-ranges/src/range-member.ts
+++ b/core/key-ranges/src/range-member.ts
@@ -111,19 +111,25 @@
 		return true;
 	}
 
+	/** Records what a heartbeat of the backend server reports. The server keeps what it holds until its earlier grant ends. */
+	recordHoldings(holds: BackendHoldings, nowMs: number): void {
+		if (holds.key === this.#backend) {
+			this.#recordReleased(holds.released, nowMs);
+			this.#reported = holds.holds;
+			this.#reportedMs = nowMs;
+			this.#possiblyHeld = nowMs < this.#grantEndMs ? mergeRanges([...this.#possiblyHeld, ...holds.holds]) : mergeRanges(holds.holds);
+		}
+	}
+
 	/** Returns the grant for a heartbeat of the backend server; undefined if nothing is renewed. */
 	grant(holds: BackendHoldings, nowMs: number): Grant | undefined {
 		if (holds.key !== this.#backend) {
 			return undefined;
 		}
 
-		this.#recordReleased(holds.released, nowMs);
-		this.#reported = holds.holds;
-		this.#reportedMs = nowMs;
+		this.recordHoldings(holds, nowMs);
 		const holdMs = Math.min(this.#opts.grantMs, (this.#leaseEndMs - nowMs) / (1 + maxClockDrift));
 		if (this.#assignmentVersion === '' || holdMs < minGrantMs) {
-			// The server keeps what it holds until its earlier grant ends.
-			this.#possiblyHeld = nowMs < this.#grantEndMs ? mergeRanges([...this.#possiblyHeld, ...holds.holds]) : mergeRanges(holds.holds);
 			return undefined;
 		}
 
--- a/node/mesh-daemon/src/backend-watch.ts
+++ b/node/mesh-daemon/src/backend-watch.ts
@@ -6,7 +6,7 @@
 import type {FleetView} from '@buckthornpoint/ingress/fleet-view.js';
 import type {BackendReport, HeartbeatReply} from '@buckthornpoint/key-ranges/messages.js';
 import type {BackendInstanceKey} from '@buckthornpoint/key-ranges/key-ranges.js';
-import {RangeMember, type Grant} from '@buckthornpoint/key-ranges/range-member.js';
+import {RangeMember, type BackendHoldings, type Grant} from '@buckthornpoint/key-ranges/range-member.js';
 import type {Log} from '@buckthornpoint/log/log.js';
 import type {MeshSettings} from './settings.js';
 import type {MeshTimeouts} from './timeouts.js';
@@ -79,10 +79,9 @@
 		this.member.setBackend(current.key);
 		this.#gate?.recordLiveness();
 		this.refresh();
-		const isPartitioned = this.#isPartitionedByKey(current.service);
-		const grant = isPartitioned
-			? this.member.grant({key: current.key, holds: heartbeat.holds, released: heartbeat.released}, this.#opts.leaseClock.readNowMs())
-			: undefined;
+		const holdings: BackendHoldings = {key: current.key, holds: heartbeat.holds, released: heartbeat.released};
+		this.member.recordHoldings(holdings, this.#opts.leaseClock.readNowMs());
+		const grant = this.#isPartitionedByKey(current.service) === true ? this.member.grant(holdings, this.#opts.leaseClock.readNowMs()) : undefined;
 		if (result.isStateChange || heartbeat.released.length > 0) {
 			this.#opts.onChange();
 		}
@@ -172,7 +171,7 @@
 		}
 
 		const nowMs = this.#readNowMs();
-		const isPartitioned = this.#isPartitionedByKey(current.service);
+		const mayBePartitioned = this.#isPartitionedByKey(current.service) !== false;
 		const demand = this.#gate?.readDemand() ?? 0;
 		return {
 			key: current.key,
@@ -185,11 +184,11 @@
 			demand: Math.round(demand * 100) / 100,
 			perS: Math.round((this.#gate?.readOfferedRequestsPerSecond() ?? 0) * 10) / 10,
 			...(this.#gate !== undefined && {capacityPerS: Math.round(this.#gate.readCapacityPerS() * 10) / 10}),
-			rangeLoads: isPartitioned && demand >= minReportedDemand ? this.#gate?.listRangeLoads(this.member.listAssigned()) ?? [] : [],
+			rangeLoads: mayBePartitioned && demand >= minReportedDemand ? this.#gate?.listRangeLoads(this.member.listAssigned()) ?? [] : [],
 			assignmentVersion: this.member.assignmentVersion,
-			stillHeld: isPartitioned ? this.member.listStillHeld(this.#opts.leaseClock.readNowMs()) : [],
+			stillHeld: mayBePartitioned ? this.member.listStillHeld(this.#opts.leaseClock.readNowMs()) : [],
 			released: this.member.listReleased(this.#opts.leaseClock.readNowMs()),
-			...(this.member.mustReportHeld && {held: isPartitioned ? this.member.listHeld(this.#opts.leaseClock.readNowMs()) : []}),
+			...(this.member.mustReportHeld && {held: mayBePartitioned ? this.member.listHeld(this.#opts.leaseClock.readNowMs()) : []}),
 		};
 	}
 
@@ -229,8 +228,10 @@
 		}
 	}
 
-	#isPartitionedByKey(service: string): boolean {
-		return this.#opts.view.routeTable?.services.get(service)?.isDivided ?? false;
+	/** Returns undefined as long as the node has no routes: the server may then hold keys by grants of an earlier node process. */
+	#isPartitionedByKey(service: string): boolean | undefined {
+		const {routeTable} = this.#opts.view;
+		return routeTable === undefined ? undefined : routeTable.services.get(service)?.isDivided ?? false;
 	}
 
 	#readNowMs(): number {
--- /dev/null
+++ b/node/mesh-daemon/test/backend-watch.test.ts
@@ -0,0 +1,77 @@
+import assert from 'node:assert/strict';
+import test from 'node:test';
+import {LeaseClock} from '@buckthornpoint/clock/lease-clock.js';
+import {ManualClock} from '@buckthornpoint/clock/manual-clock.js';
+import type {BackendHeartbeat} from '@buckthornpoint/fleet/announcements.js';
+import {FleetView} from '@buckthornpoint/ingress/fleet-view.js';
+import {formatBackendInstanceKey, type HeldRange} from '@buckthornpoint/key-ranges/key-ranges.js';
+import type {HeartbeatReply} from '@buckthornpoint/key-ranges/messages.js';
+import {SilentLog} from '@buckthornpoint/log/reporters.js';
+import type {RouteTable} from '@buckthornpoint/routes/routes.js';
+import {BackendWatch} from '../src/backend-watch.js';
+import type {MeshSettings} from '../src/settings.js';
+import {deriveTimeouts} from '../src/timeouts.js';
+
+const service = 'sklad';
+const bornMs = 7;
+const serverKey = formatBackendInstanceKey('i-1', bornMs);
+const allKeys = {from: 0, to: 65_535};
+
+const settings: MeshSettings = {
+	vmId: 'vm-1', failureDomain: 'a', service, backendServer: '127.0.0.1:0', store: '127.0.0.1:1', heartbeatSeconds: 0.87, logLevel: 'info', metricsPort: 0,
+	listen: {
+		callers: '127.0.0.1:1', peers: '127.0.0.1:1', readiness: '127.0.0.1:1', announcements: '127.0.0.1:1',
+	},
+	bounds: {
+		drainSeconds: 2, evacuationSeconds: 5, graceSeconds: 6, maxHoldSeconds: 10, retryRatio: 0.2, retrySlack: 50,
+	},
+};
+
+function createRoutes(isDivided: boolean): RouteTable {
+	return {
+		version: 1, routes: [], limits: {
+			headerBytes: 1, bodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1,
+		},
+		services: new Map([[service, {
+			name: service, healthPath: '/', maxConnections: 1, coldMs: 0, coldPerS: 1, isDivided,
+		}]]),
+	};
+}
+
+/** The watch of a node process that has just started. */
+function createWatch(): {readonly watch: BackendWatch; readonly view: FleetView; readonly clock: ManualClock} {
+	const clock = new ManualClock();
+	const view = new FleetView();
+	const watch = new BackendWatch({
+		settings, timeouts: deriveTimeouts(settings), clock, leaseClock: new LeaseClock(clock), view, log: new SilentLog(), onChange: () => undefined,
+	});
+	return {watch, view, clock};
+}
+
+function createHeartbeat(holds: readonly HeldRange[]): BackendHeartbeat {
+	return {
+		id: 'i-1', bornMs, sequence: 1, service, address: settings.backendServer, failureDomain: 'a', slots: 18, isDraining: false, coldMs: 0, holds, released: [],
+	};
+}
+
+/** The reply of a controller that moves all keys of the server to others. */
+const withdrawingReply: HeartbeatReply = {
+	epoch: 1, leaseMs: 5000, assignmentVersion: '1.2', assignment: [], directoryVersion: '', isDirectoryComplete: false, isStoreReached: true,
+};
+
+test('a restarted node without routes reports the withdrawn keys of its server as still held, not as released', () => {
+	const {watch, view} = createWatch();
+	watch.handleHeartbeat(createHeartbeat([{...allKeys, fence: 1}]));
+	watch.applyReply(withdrawingReply, 0, serverKey);
+	const {assignmentVersion, stillHeld} = watch.createReport()!;
+	assert.deepEqual({assignmentVersion, stillHeld}, {assignmentVersion: '1.2', stillHeld: [allKeys]});
+	view.setRoutes(createRoutes(false), '');
+	assert.deepEqual(watch.createReport()?.stillHeld, [], 'a server of a service without keys holds none');
+});
+
+test('a restarted node without routes reports the keys that its server holds to a controller that recovers the maps', () => {
+	const {watch} = createWatch();
+	watch.handleHeartbeat(createHeartbeat([{...allKeys, fence: 4}]));
+	watch.applyReply({...withdrawingReply, mustReportHeld: true}, 0, serverKey);
+	assert.deepEqual(watch.createReport()?.held, [{...allKeys, fence: 4}]);
+});
