fix: let a new controller plan nothing before it knows the operator's orders

A node that has just started can take over as the controller before it has read the operator's rows. It then planned moves with no failure domain evacuated, so keys could go to servers of an evacuated domain (EVAC) and would have to move again.

Cause: FleetView.getOwnershipRules returned empty sets as long as nothing was read, which reads as "no evacuations".

Change: it returns undefined until both the configuration and the evacuation orders are known; ControlTask then plans no moves and writes only maps that it recovers.

--- a/node/cell-link/src/control-task-opts.ts
+++ b/node/cell-link/src/control-task-opts.ts
@@ -15,7 +15,8 @@
 	readonly clock: Clock;
 	readonly random: RandomSource;
 	readonly times: RangeControllerOpts;
-	readonly getRules: () => OwnershipRules;
+	/** The operator's rules; undefined as long as this node does not know them. */
+	readonly getRules: () => OwnershipRules | undefined;
 	/** The highest controller epoch that this node has received. */
 	readonly getEpoch: () => number;
 	/** Version of the operator's routes on this node, or 0 for none. It is sent to members that have an older version. */
--- a/node/cell-link/src/control-task.ts
+++ b/node/cell-link/src/control-task.ts
@@ -1,4 +1,5 @@
 import type {Timer} from '@buckthornpoint/clock/clock.js';
+import type {OwnershipRules} from '@buckthornpoint/key-ranges/classify-backend.js';
 import {maxClockDrift} from '@buckthornpoint/key-ranges/clock-drift.js';
 import {isOlderPosition, type HeartbeatReply, type MemberHeartbeat} from '@buckthornpoint/key-ranges/messages.js';
 import type {RangeController} from '@buckthornpoint/key-ranges/range-controller.js';
@@ -20,6 +21,9 @@
 /** Moves are planned only if the last acknowledged renewal is more recent. While the store answers, it always is more recent. */
 const maxRenewalAgeMs = 1500;
 
+/** Without rules only maps that are being recovered are written. */
+const noRules: OwnershipRules = {partitionedServices: new Set(), evacuatedDomains: new Set()};
+
 /** Acquires and renews the controller lease, and persists the controller's decisions in the store while it holds it. */
 export class ControlTask {
 	readonly #opts: ControlTaskOpts;
@@ -171,7 +175,8 @@
 	}
 
 	#planMoves(controller: RangeController, nowMs: number): void {
-		const moves = controller.planMoves(this.#opts.getRules(), nowMs);
+		const rules = this.#opts.getRules();
+		const moves = rules === undefined ? [] : controller.planMoves(rules, nowMs);
 		if (moves.length > 0) {
 			this.#opts.onEvent({
 				kind: 'moves-planned', epoch: controller.epoch, moves: moves.map(({from, to, owner, target}) => `${from}-${to} ${owner}>${target}`).join(' '),
@@ -186,7 +191,7 @@
 			return;
 		}
 
-		const maps = controller.planMaps(this.#opts.getRules(), this.#readNowMs());
+		const maps = controller.planMaps(this.#opts.getRules() ?? noRules, this.#readNowMs());
 		if (maps.length === 0 && this.#lease.measureRenewalAgeMs() < renewalIntervalMs) {
 			return;
 		}
--- a/node/cell-link/test/control-task.test.ts
+++ b/node/cell-link/test/control-task.test.ts
@@ -3,6 +3,8 @@
 import test from 'node:test';
 import {ManualClock} from '@buckthornpoint/clock/manual-clock.js';
 import {SeededRandom} from '@buckthornpoint/clock/seeded-random.js';
+import type {OwnershipRules} from '@buckthornpoint/key-ranges/classify-backend.js';
+import type {BackendState, MemberHeartbeat} from '@buckthornpoint/key-ranges/messages.js';
 import type {ControlEvent} from '../src/control-event.js';
 import {ControlTask} from '../src/control-task.js';
 import {
@@ -14,7 +16,7 @@
 
 type Fixture = {readonly task: ControlTask; readonly store: SimulatedStore; readonly clock: ManualClock; readonly events: ControlEvent[]};
 
-function openTask(): Fixture {
+function openTask(getRules: () => OwnershipRules | undefined = () => ({partitionedServices: new Set(), evacuatedDomains: new Set()})): Fixture {
 	const clock = new ManualClock();
 	const random = new SeededRandom(1);
 	const store = new SimulatedStore((delayMs, run) => {
@@ -27,7 +29,7 @@
 		clock,
 		random,
 		times: simulatedTimes,
-		getRules: () => ({partitionedServices: new Set(), evacuatedDomains: new Set()}),
+		getRules,
 		getEpoch: () => 0,
 		...simulatedOperatorState,
 		getInitialState: () => ({}),
@@ -113,3 +115,37 @@
 		task.close();
 	}
 });
+
+function createMemberHeartbeat(vmId: string, state: BackendState): MemberHeartbeat {
+	return {
+		vmId, incarnation: 'a', address: vmId, failureDomain: vmId, service: 's', epoch: 1, isStopping: false, routesVersion: 0, ordersVersion: 0, directoryVersion: '', mapVersions: {}, ended: [],
+		backend: {
+			key: `${vmId}/1`, id: vmId, service: 's', state, slots: 18, isCold: false, silentMs: 0, demand: 0.1, perS: 10, rangeLoads: [], assignmentVersion: '', stillHeld: [], released: [],
+		},
+	};
+}
+
+test('a new controller moves no keys to a server in a failure domain whose evacuation it does not know yet', async () => {
+	let rules: OwnershipRules | undefined = {partitionedServices: new Set(['s']), evacuatedDomains: new Set(['b'])};
+	const {task, clock, events} = openTask(() => rules);
+	const search = task.findController();
+	await run(clock, 100);
+	await search;
+	const runWith = async (stateOfA: BackendState, durationMs: number): Promise<void> => {
+		for (let passedMs = 0; passedMs < durationMs; passedMs += 100) {
+			task.handleHeartbeat(createMemberHeartbeat('a', stateOfA));
+			task.handleHeartbeat(createMemberHeartbeat('b', 'ready'));
+			await run(clock, 100);
+		}
+	};
+
+	await runWith('ready', 3000);
+	assert.ok(events.some(({kind}) => kind === 'maps-written'));
+	rules = undefined;
+	await runWith('draining', 2000);
+	assert.deepEqual(events.filter(({kind}) => kind === 'moves-planned'), []);
+	rules = {partitionedServices: new Set(['s']), evacuatedDomains: new Set()};
+	await runWith('draining', 1000);
+	assert.ok(events.some(({kind}) => kind === 'moves-planned'));
+	task.close();
+});
--- a/node/ingress/src/fleet-view.ts
+++ b/node/ingress/src/fleet-view.ts
@@ -40,10 +40,14 @@
 		return this.#directoryVersion;
 	}
 
-	/** The part of the operator's configuration that ownership depends on. */
-	getOwnershipRules(): OwnershipRules {
+	/** The part of the operator's configuration that ownership depends on; undefined until the node has read the configuration and the evacuation orders. */
+	getOwnershipRules(): OwnershipRules | undefined {
+		if (this.#routeTable === undefined || !this.hasOrders) {
+			return undefined;
+		}
+
 		return {
-			partitionedServices: new Set([...this.#routeTable?.services.values() ?? []].filter(({isDivided}) => isDivided).map(({name}) => name)),
+			partitionedServices: new Set([...this.#routeTable.services.values()].filter(({isDivided}) => isDivided).map(({name}) => name)),
 			evacuatedDomains: this.#evacuatedDomains,
 		};
 	}
@@ -102,6 +106,11 @@
 		}
 	}
 
+	/** Whether the operator's evacuation orders are known. Until then, no failure domain counts as evacuated. */
+	get hasOrders(): boolean {
+		return this.#ordersPosition.version > 0;
+	}
+
 	getEvacuation(): EvacuationOrders & StorePosition {
 		return {...this.#ordersPosition, domains: [...this.#evacuatedDomains]};
 	}
--- a/node/ingress/test/fleet-view.test.ts
+++ b/node/ingress/test/fleet-view.test.ts
@@ -64,3 +64,15 @@
 	view.applyReply(createReply(['b'], true));
 	assert.deepEqual(view.leavingInstances.list('a'), []);
 });
+
+test('a node without the evacuation orders does not know the ownership rules, even with routes from another node', () => {
+	const view = new FleetView();
+	view.setRoutes({
+		version: 7, routes: [], services: new Map(), limits: {
+			headerBytes: 1, bodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1,
+		},
+	}, 'seven');
+	assert.equal(view.getOwnershipRules(), undefined);
+	view.applyEvacuation({version: 3, era: 0, domains: ['a']});
+	assert.deepEqual([...view.getOwnershipRules()?.evacuatedDomains ?? []], ['a']);
+});
