fix: stop using a server at once if its domain was evacuated before the node started

A node counted the time during which a server of an evacuated failure domain may still get requests for its keys from the moment at which it learned of the order.

Cause: "not known before" was taken as "not ordered before".

Change: an order that is known as soon as the node knows any orders counts as older than the allowed time.

Measured: the test in backend-watch.test.ts failed before (the request was sent) and passes; an order that arrives later gives the server the same time as before.

--- a/node/mesh-daemon/src/backend-watch.ts
+++ b/node/mesh-daemon/src/backend-watch.ts
@@ -33,6 +33,8 @@
 	readonly #registration: BackendRegistration;
 	#gate: BackendGate | undefined;
 	#evacuatedSinceMs: number | undefined;
+	/** Whether the evacuation orders were known at the last refresh. */
+	#hadOrders = false;
 
 	constructor(opts: BackendWatchOpts) {
 		this.#opts = opts;
@@ -220,12 +222,15 @@
 	#updateEvacuation(nowMs: number): void {
 		const isEvacuated = this.#opts.view.isEvacuated(this.#opts.settings.failureDomain);
 		if (isEvacuated) {
-			this.#evacuatedSinceMs ??= nowMs;
+			// The age of an order that was found at the start is not known.
+			this.#evacuatedSinceMs ??= this.#hadOrders ? nowMs : Number.NEGATIVE_INFINITY;
 		} else if (this.#evacuatedSinceMs !== undefined) {
 			this.#evacuatedSinceMs = undefined;
 			const policy = this.#opts.view.routeTable?.services.get(this.getLocalService());
 			this.#registration.recordCold(policy?.coldMs ?? 0, nowMs);
 		}
+
+		this.#hadOrders = this.#opts.view.hasOrders;
 	}
 
 	/** Returns undefined as long as the node has no routes: the server may then hold keys by grants of an earlier node process. */
--- a/node/mesh-daemon/test/backend-watch.test.ts
+++ b/node/mesh-daemon/test/backend-watch.test.ts
@@ -2,6 +2,7 @@
 import test from 'node:test';
 import {LeaseClock} from '@buckthornpoint/clock/lease-clock.js';
 import {ManualClock} from '@buckthornpoint/clock/manual-clock.js';
+import type {Outcome} from '@buckthornpoint/backend-link/outcome.js';
 import type {BackendHeartbeat} from '@buckthornpoint/fleet/announcements.js';
 import {FleetView} from '@buckthornpoint/ingress/fleet-view.js';
 import {formatBackendInstanceKey, type HeldRange} from '@buckthornpoint/key-ranges/key-ranges.js';
@@ -9,6 +10,7 @@
 import {SilentLog} from '@buckthornpoint/log/reporters.js';
 import type {RouteTable} from '@buckthornpoint/routes/routes.js';
 import {BackendWatch} from '../src/backend-watch.js';
+import {createGate} from '../src/create-gate.js';
 import type {MeshSettings} from '../src/settings.js';
 import {deriveTimeouts} from '../src/timeouts.js';
 
@@ -75,3 +77,29 @@
 	watch.applyReply({...withdrawingReply, mustReportHeld: true}, 0, serverKey);
 	assert.deepEqual(watch.createReport()?.held, [{...allKeys, fence: 4}]);
 });
+
+test('a restarted node sends nothing to its server in a failure domain that was evacuated before the start', t => {
+	for (const [isOrderedLater, reason] of [[false, 'evacuated'], [true, undefined]] as const) {
+		const {watch, view, clock} = createWatch();
+		const gate = createGate(settings, clock, watch);
+		t.after(() => {
+			gate.close();
+		});
+		view.setRoutes(createRoutes(true), '');
+		if (isOrderedLater) {
+			view.applyEvacuation({version: 1, era: 0, domains: []});
+		}
+
+		watch.handleHeartbeat(createHeartbeat([]));
+		view.applyEvacuation({version: 2, era: 0, domains: ['a']});
+		watch.refresh();
+		let outcome: Outcome | undefined;
+		gate.admit({
+			requestId: 'x', method: 'GET', path: '/', headers: [], body: new Uint8Array(), key: undefined, service, route: 'r', callerService: 'c', priority: 1, isIdempotent: true,
+			mayWait: true, remainingMs: 1000, targetMs: 200, lateMs: 200,
+		}, result => {
+			outcome = result;
+		});
+		assert.equal(outcome?.kind === 'not-run' ? outcome.reason : undefined, reason);
+	}
+});
