fix: record that a server leaves before its announcement is acknowledged

Cause: the acknowledgement was given as soon as the leave call was in the memory of one process. A process that started after a kill knew nothing of it, and took a late heartbeat that calls the server ready at its word. That the killed node was the controller only makes it certain: any node whose next heartbeat to the controller had not been sent was in the same place.

Ruled out: the other nodes (they send by the directory, which said ready again from that heartbeat on).

A starting node finds the rows with its first lookup of the controller, which reads that table anyway: no further call, and no wait where the store answers. Until then none of its server's instances counts as ready; if the store can't be read, the controller's reply has to do. A node that takes over starts with all rows, heartbeats name the leaving instances, rows are written again when the store returns from a copy, and rows older than an hour are removed with the controller's writes.

--- a/core/key-ranges/src/classify-backend.ts
+++ b/core/key-ranges/src/classify-backend.ts
@@ -6,6 +6,9 @@
 	readonly evacuatedDomains: ReadonlySet<string>;
 };
 
+/** Rules of a node that does not know the operator's configuration: it may recover maps and change nothing else. */
+export const noOwnershipRules: OwnershipRules = {partitionedServices: new Set(), evacuatedDomains: new Set()};
+
 /** Time without a heartbeat after which a VM or its backend server receives no new ranges. */
 export type SilenceTimeouts = {
 	readonly vmSilenceMs: number;
--- a/core/key-ranges/src/leaving-instances.ts
+++ b/core/key-ranges/src/leaving-instances.ts
@@ -1,7 +1,7 @@
 import type {BackendInstanceKey} from './key-ranges.js';
 
 /** Limit of recorded instances per VM. One instance leaves at a time, and delayed heartbeats of it arrive only seconds later. */
-const maxInstancesPerVm = 4;
+export const maxInstancesPerVm = 4;
 
 /**
  * The backend server instances that reported that they are leaving, by VM. A restarted node process receives the list,
--- a/core/key-ranges/src/messages.ts
+++ b/core/key-ranges/src/messages.ts
@@ -76,6 +76,8 @@
 	readonly backend?: BackendReport;
 	/** Backend server instances on this VM that are known to have ended. */
 	readonly ended: readonly BackendInstanceKey[];
+	/** Backend server instances on this VM that are known to be leaving, latest last. Nodes of earlier versions don't report them. */
+	readonly leaving?: readonly BackendInstanceKey[];
 };
 
 /** A node as listed for the other nodes. */
--- a/core/key-ranges/src/vm-table.ts
+++ b/core/key-ranges/src/vm-table.ts
@@ -67,6 +67,10 @@
 			this.#ended.add(key);
 		}
 
+		for (const key of heartbeat.leaving ?? []) {
+			this.#leavingInstances.record(heartbeat.vmId, key);
+		}
+
 		if (backend !== undefined && backend.state !== 'ready') {
 			this.#leavingInstances.record(heartbeat.vmId, backend.key);
 		}
--- a/node/backend-link/src/backend-registration.ts
+++ b/node/backend-link/src/backend-registration.ts
@@ -25,11 +25,23 @@
 /** The result of a heartbeat. */
 export type RegistrationResult
 	= | {readonly kind: 'accepted'; readonly isNewInstance: boolean; readonly isStateChange: boolean}
-		/** Out of order, or from an instance that has left or ended: acknowledged and ignored. */
-		| {readonly kind: 'outdated'; readonly reason: string}
+		/** Out of order, or from an instance that has left or ended: acknowledged, and ignored but for an announcement that the server leaves. */
+		| {readonly kind: 'outdated'; readonly reason: string; readonly isStateChange: boolean}
 		/** Not from the local backend server, or for an unknown service. */
 		| {readonly kind: 'refused'; readonly reason: string};
 
+/** An announcement of a server instance that it leaves. */
+export type Leave = {
+	readonly id: string;
+	/** Start time of the instance in Unix milliseconds; 0 if it is not known: then the instances that started before `leftAtMs` are meant. */
+	readonly bornMs: number;
+	/** When the announcement arrived, on the node's wall clock. */
+	readonly leftAtMs: number;
+};
+
+/** When a leave call arrived that did not state which instance of the server left. */
+type UnidentifiedLeave = {readonly leftAtMs: number; readonly sinceMs: number};
+
 /** Inputs to the checks of a heartbeat. */
 export type RegistrationOpts = {
 	/** Host and port of the local backend server. */
@@ -47,6 +59,8 @@
 	#ended: readonly BackendInstanceKey[] = [];
 	/** When each instance started to leave, on the node's clock. Negative infinity if an earlier node process received the leave call: the time is not known. */
 	readonly #leavingSince = new Map<BackendInstanceKey, number>();
+	/** Leave calls without a start time of servers that were not registered, by the server's id. */
+	readonly #unidentifiedLeaves = new Map<string, UnidentifiedLeave>();
 
 	constructor(opts: RegistrationOpts) {
 		this.#opts = opts;
@@ -61,18 +75,24 @@
 		return this.#ended;
 	}
 
+	/** Instances that are known to be leaving, the latest last. */
+	listLeaving(): readonly BackendInstanceKey[] {
+		return [...this.#leavingSince.keys()];
+	}
+
 	handleHeartbeat(heartbeat: BackendHeartbeat, nowMs: number): RegistrationResult {
 		const refusal = this.#checkOrigin(heartbeat);
 		if (refusal !== undefined) {
 			return {kind: 'refused', reason: refusal};
 		}
 
+		const key = formatBackendInstanceKey(heartbeat.id, heartbeat.bornMs);
 		const outdated = this.#checkAge(heartbeat);
 		if (outdated !== undefined) {
-			return {kind: 'outdated', reason: outdated};
+			const isNewlyLeaving = heartbeat.isDraining && this.recordLeavingInstances([key], nowMs);
+			return {kind: 'outdated', reason: outdated, isStateChange: isNewlyLeaving};
 		}
 
-		const key = formatBackendInstanceKey(heartbeat.id, heartbeat.bornMs);
 		const earlier = this.#current;
 		const isNewInstance = earlier?.key !== key;
 		if (isNewInstance && earlier !== undefined) {
@@ -84,6 +104,7 @@
 			this.#addLeaving(key, isNewInstance ? Number.NEGATIVE_INFINITY : nowMs);
 		}
 
+		this.#applyUnidentifiedLeave(heartbeat, key);
 		const leavingSinceMs = this.#leavingSince.get(key);
 		const state = leavingSinceMs === undefined ? 'ready' : 'draining';
 		this.#current = {
@@ -102,19 +123,32 @@
 		return {kind: 'accepted', isNewInstance, isStateChange: isNewInstance || earlier?.state !== state};
 	}
 
-	/** Handles a leave call of an instance. Returns whether it is the current one. */
-	handleLeave(id: string, bornMs: number, nowMs: number): boolean {
+	/** Handles a leave call. Returns the leaving instance as far as it is known, and whether it is the current one. */
+	handleLeave({id, bornMs, leftAtMs}: Leave, nowMs: number): {readonly leave: Leave; readonly isCurrent: boolean} {
 		const current = this.#current;
-		const isCurrent = current?.id === id && (bornMs === 0 || bornMs === current.bornMs);
-		if (isCurrent) {
+		if (current?.id === id && (bornMs === 0 || bornMs === current.bornMs)) {
 			this.#addLeaving(current.key, nowMs);
 			this.#current = {...current, state: 'gone', leavingSinceMs: this.#leavingSince.get(current.key)};
-		} else if (bornMs !== 0) {
-			// An earlier node process may have registered the instance, and a delayed heartbeat of it may still arrive.
-			this.#addLeaving(formatBackendInstanceKey(id, bornMs), nowMs);
+			return {leave: {id, bornMs: current.bornMs, leftAtMs}, isCurrent: true};
 		}
 
-		return isCurrent;
+		// An earlier node process may have registered the instance, and a delayed heartbeat of it may still arrive.
+		const leave = {id, bornMs, leftAtMs};
+		this.#addLeave(leave, nowMs);
+		return {leave, isCurrent: false};
+	}
+
+	/** Records announcements that an earlier node process acknowledged. Returns whether the current instance turned from ready to draining. */
+	recordLeaves(leaves: readonly Leave[]): boolean {
+		for (const leave of leaves.toSorted((a, b) => a.leftAtMs - b.leftAtMs)) {
+			this.#addLeave(leave, Number.NEGATIVE_INFINITY);
+		}
+
+		if (this.#current !== undefined) {
+			this.#applyUnidentifiedLeave(this.#current, this.#current.key);
+		}
+
+		return this.recordLeavingInstances([], Number.NEGATIVE_INFINITY);
 	}
 
 	/** Records instances that started to leave at `sinceMs`, negative infinity if that is not known. Returns whether the current one turned from ready to draining. */
@@ -180,17 +214,38 @@
 		return this.#ended.includes(key) ? 'the server instance has ended' : undefined;
 	}
 
+	#addLeave({id, bornMs, leftAtMs}: Leave, sinceMs: number): void {
+		if (bornMs > 0) {
+			this.#addLeaving(formatBackendInstanceKey(id, bornMs), sinceMs);
+			return;
+		}
+
+		this.#unidentifiedLeaves.set(id, {leftAtMs, sinceMs});
+		removeOldest(this.#unidentifiedLeaves);
+	}
+
+	#applyUnidentifiedLeave({id, bornMs}: Pick<BackendHeartbeat, 'id' | 'bornMs'>, key: BackendInstanceKey): void {
+		const leave = this.#unidentifiedLeaves.get(id);
+		if (leave !== undefined && bornMs <= leave.leftAtMs) {
+			this.#addLeaving(key, leave.sinceMs);
+		}
+	}
+
 	#addLeaving(key: BackendInstanceKey, sinceMs: number): void {
 		if (!this.#leavingSince.has(key)) {
 			this.#leavingSince.set(key, sinceMs);
 		}
 
-		for (const oldest of [...this.#leavingSince.keys()].slice(0, -maxRememberedInstances)) {
-			this.#leavingSince.delete(oldest);
-		}
+		removeOldest(this.#leavingSince);
 	}
 
 	#addEnded(key: BackendInstanceKey): void {
 		this.#ended = [...this.#ended.filter(ended => ended !== key), key].slice(-maxRememberedInstances);
 	}
 }
+
+function removeOldest(entries: Map<string, unknown>): void {
+	for (const oldest of [...entries.keys()].slice(0, -maxRememberedInstances)) {
+		entries.delete(oldest);
+	}
+}
--- a/node/backend-link/test/backend-registration.test.ts
+++ b/node/backend-link/test/backend-registration.test.ts
@@ -50,7 +50,7 @@
 
 test('a leave call of an unregistered instance also applies to its delayed heartbeats', () => {
 	const registration = createRegistration();
-	assert.equal(registration.handleLeave('i-1', bornMs, 1000), false);
+	assert.equal(registration.handleLeave({id: 'i-1', bornMs, leftAtMs: 5000}, 1000).isCurrent, false);
 	registration.handleHeartbeat(createHeartbeat(), 1100);
 	assert.equal(registration.current?.state, 'draining');
 });
@@ -71,3 +71,31 @@
 	registration.handleHeartbeat(createHeartbeat({id: 'i-2', bornMs: 2000}), 3000);
 	assert.equal(registration.current?.state, 'ready');
 });
+
+test('a leave call without a start time that arrives before any heartbeat applies to the instance that had started by then', () => {
+	for (const [startedAtMs, state] of [[bornMs, 'draining'], [5001, 'ready']] as const) {
+		const registration = createRegistration();
+		assert.deepEqual(registration.handleLeave({id: 'i-1', bornMs: 0, leftAtMs: 5000}, 1000), {leave: {id: 'i-1', bornMs: 0, leftAtMs: 5000}, isCurrent: false});
+		registration.handleHeartbeat(createHeartbeat({bornMs: startedAtMs}), 1100);
+		assert.equal(registration.current?.state, state);
+	}
+});
+
+test('an acknowledged draining heartbeat that arrives after a later ready one is not ignored', () => {
+	const registration = createRegistration();
+	registration.handleHeartbeat(createHeartbeat({sequence: 5}), 1000);
+	assert.deepEqual(registration.handleHeartbeat(createHeartbeat({sequence: 4, isDraining: true}), 1100), {
+		kind: 'outdated', reason: 'heartbeat 4 arrived after heartbeat 5', isStateChange: true,
+	});
+	assert.equal(registration.current?.state, 'draining');
+});
+
+test('a registered instance becomes draining when the store names its leave, with or without a start time', () => {
+	for (const leaveBornMs of [bornMs, 0]) {
+		const registration = createRegistration();
+		registration.handleHeartbeat(createHeartbeat(), 1000);
+		assert.equal(registration.recordLeaves([{id: 'i-1', bornMs: leaveBornMs, leftAtMs: 5000}]), true);
+		assert.equal(registration.current?.state, 'draining');
+		assert.equal(registration.current.leavingSinceMs, Number.NEGATIVE_INFINITY);
+	}
+});
--- a/node/cell-link/src/cell-snapshot.ts
+++ b/node/cell-link/src/cell-snapshot.ts
@@ -6,6 +6,7 @@
 import {
 	cellTable, controllerKey, decodeControllerRecord, getEraKey, getMapKey, isEraKey, isMapKey, type ControllerRecord,
 } from './controller-record.js';
+import {decodeLeaveRecords, type LeaveRecord} from './leave-record.js';
 
 /** The decoded rows of a cell. */
 export type CellSnapshot = {
@@ -19,18 +20,20 @@
 	readonly mapRows: readonly StoredRow[];
 	/** Version of the row that marks the present era, 0 if nothing was written in this era. */
 	readonly eraRowVersion: number;
-	/** Rows that mark earlier eras. */
-	readonly earlierEraRows: readonly RowName[];
+	readonly leaves: readonly LeaveRecord[];
+	/** Rows that mark earlier eras, and leave records that are no longer needed. */
+	readonly obsoleteRows: readonly RowName[];
 };
 
 /** Versions of the rows on which a write of the controller depends. */
-export type CellVersions = Pick<CellSnapshot, 'era' | 'mapVersions' | 'eraRowVersion'> & {readonly rowVersion: number; readonly earlierEraRows: readonly RowName[]};
+export type CellVersions = Pick<CellSnapshot, 'era' | 'mapVersions' | 'eraRowVersion'> & {readonly rowVersion: number; readonly obsoleteRows: readonly RowName[]};
 
-/** Decodes the rows of a cell. */
-export function decodeCell({rows, era, nowMs}: Snapshot): CellSnapshot {
+/** Decodes the rows of a cell. `wallMs` is the time of the wall clock. */
+export function decodeCell({rows, era, nowMs}: Snapshot, wallMs: number): CellSnapshot {
 	const row = rows.find(({key}) => key === controllerKey);
 	const mapRows = rows.filter(({key, value}) => isMapKey(key) && value !== undefined);
 	const eraRows = rows.filter(({key, value}) => isEraKey(key) && value !== undefined);
+	const {records: leaves, obsolete: obsoleteLeaves} = decodeLeaveRecords(rows, wallMs);
 	return {
 		era,
 		nowMs,
@@ -39,13 +42,14 @@
 		mapRows,
 		mapVersions: new Map(mapRows.map(({key, version}) => [key, version])),
 		eraRowVersion: eraRows.find(({key}) => key === getEraKey(era))?.version ?? 0,
-		earlierEraRows: eraRows.filter(({key}) => key !== getEraKey(era)),
+		leaves,
+		obsoleteRows: [...eraRows.filter(({key}) => key !== getEraKey(era)), ...obsoleteLeaves],
 	};
 }
 
 /** Creates the transaction that writes the controller's row and range maps, provided that nobody else wrote them and the era is the same. */
 export function createCellTransaction(record: ControllerRecord, maps: readonly RangeMap[], versions: CellVersions): RowTransaction {
-	const {era, eraRowVersion, mapVersions, rowVersion, earlierEraRows} = versions;
+	const {era, eraRowVersion, mapVersions, rowVersion, obsoleteRows} = versions;
 	const eraRow = {table: cellTable, key: getEraKey(era)};
 	const mustMarkEra = era > 0 && eraRowVersion === 0;
 	return {
@@ -59,7 +63,7 @@
 			...mustMarkEra ? [{...eraRow, value: '{}'}] : [],
 			...maps.map(map => ({table: cellTable, key: getMapKey(map.service), value: JSON.stringify(encodeRangeMap(map))})),
 		],
-		removals: earlierEraRows.map(({key}) => ({table: cellTable, key})),
+		removals: obsoleteRows.map(({key}) => ({table: cellTable, key})),
 	};
 }
 
--- a/node/cell-link/src/control-task-opts.ts
+++ b/node/cell-link/src/control-task-opts.ts
@@ -6,6 +6,7 @@
 import type {EvacuationOrders, StorePosition} from '@buckthornpoint/key-ranges/messages.js';
 import type {RetainedEvacuation} from './contradicted-orders.js';
 import type {ControlEvent} from './control-event.js';
+import type {LeaveRecord} from './leave-record.js';
 import type {ControlIdentity} from './controller-lease-types.js';
 
 /** Dependencies and settings of a `ControlTask`. */
@@ -33,5 +34,7 @@
 	readonly requestHeartbeats: (addresses: readonly string[]) => void;
 	/** Notifies all known nodes that this node has become the controller. */
 	readonly announceTakeover: (epoch: number) => void;
+	/** Called with the leave records that each lookup of the controller in the store finds; undefined if the lookup failed. */
+	readonly onLeaves: (leaves: readonly LeaveRecord[] | undefined) => void;
 	readonly onEvent: (event: ControlEvent) => void;
 };
--- a/node/cell-link/src/control-task.ts
+++ b/node/cell-link/src/control-task.ts
@@ -1,13 +1,14 @@
 import type {Timer} from '@buckthornpoint/clock/clock.js';
-import type {OwnershipRules} from '@buckthornpoint/key-ranges/classify-backend.js';
+import {noOwnershipRules} from '@buckthornpoint/key-ranges/classify-backend.js';
 import {maxClockDrift} from '@buckthornpoint/key-ranges/clock-drift.js';
-import {isOlderPosition, type HeartbeatReply, type MemberHeartbeat} from '@buckthornpoint/key-ranges/messages.js';
+import type {HeartbeatReply, MemberHeartbeat} from '@buckthornpoint/key-ranges/messages.js';
 import type {RangeController} from '@buckthornpoint/key-ranges/range-controller.js';
 import {updateEra} from '@buckthornpoint/key-ranges/range-map.js';
 import type {ControlTaskOpts} from './control-task-opts.js';
 import {formatMaps} from './control-event.js';
 import {ControllerLease} from './controller-lease.js';
 import type {Takeover} from './controller-lease-types.js';
+import {createOperatorReply} from './create-operator-reply.js';
 import {createRangeController} from './create-range-controller.js';
 import {StoreOutage} from './store-outage.js';
 import {controllerTermMs, leaseHorizonMs} from './takeover-record.js';
@@ -18,12 +19,12 @@
 /** Interval at which range maps and moves are planned. */
 const planIntervalMs = 200;
 
+/** Interval at which the controller reads the rows of the cell to remove obsolete ones. */
+const cleanupIntervalMs = 3_600_000;
+
 /** Moves are planned only if the last acknowledged renewal is more recent. While the store answers, it always is more recent. */
 const maxRenewalAgeMs = 1500;
 
-/** Without rules only maps that are being recovered are written. */
-const noRules: OwnershipRules = {partitionedServices: new Set(), evacuatedDomains: new Set()};
-
 /** Acquires and renews the controller lease, and persists the controller's decisions in the store while it holds it. */
 export class ControlTask {
 	readonly #opts: ControlTaskOpts;
@@ -35,12 +36,14 @@
 	/** Set once the node begins to stop. From then on it does not acquire the controller lease. */
 	#isStopping = false;
 	readonly #outage: StoreOutage;
+	/** When this node last read the rows of the cell as the controller. */
+	#lastReadMs = Number.NEGATIVE_INFINITY;
 
 	constructor(opts: ControlTaskOpts) {
 		this.#opts = opts;
 		this.#outage = new StoreOutage(opts);
 		this.#lease = new ControllerLease({
-			identity: opts.identity, store: opts.store, getEpoch: opts.getEpoch, readNowMs: () => this.#readNowMs(),
+			identity: opts.identity, store: opts.store, getEpoch: opts.getEpoch, readNowMs: () => this.#readNowMs(), readWallMs: () => opts.clock.readTimestamp().wallMs, onLeaves: opts.onLeaves,
 		});
 	}
 
@@ -66,15 +69,7 @@
 			this.#opts.onLaterRoutes(heartbeat.routesVersion, heartbeat.address);
 		}
 
-		const evacuation = this.#opts.getEvacuation();
-		const retainedEvacuations = this.#opts.listRetainedEvacuations();
-		return {
-			...reply,
-			isStoreReached: this.#lease.measureRenewalAgeMs() < 2 * renewalIntervalMs,
-			...(routesVersion > heartbeat.routesVersion && {routesVersion}),
-			...(isOlderPosition({era: heartbeat.ordersEra ?? 0, version: heartbeat.ordersVersion}, evacuation) && {evacuation}),
-			...(retainedEvacuations.length > 0 && {retainedEvacuations}),
-		};
+		return {...reply, isStoreReached: this.#lease.measureRenewalAgeMs() < 2 * renewalIntervalMs, ...createOperatorReply(heartbeat, this.#opts)};
 	}
 
 	/** Looks up the controller, and takes over if there is none. Returns the controller's address, if known. */
@@ -86,6 +81,7 @@
 		const search = await this.#lease.findOrAcquire(!this.#isStopping);
 		if (search.isErr()) {
 			this.#outage.recordFailure('look up the controller', search.error.error.message);
+			this.#opts.onLeaves(undefined);
 			return undefined;
 		}
 
@@ -134,6 +130,7 @@
 			this.#opts.onEvent({kind: 'store-failed', operation: 'decode a range map', problem});
 		}
 
+		this.#lastReadMs = this.#readNowMs();
 		this.#controller = createRangeController(takeover, {initialState: this.#opts.getInitialState(), startMs: this.#readNowMs(), times: this.#opts.times});
 		this.#opts.onEvent({
 			kind: 'took-over', epoch: record.epoch, afterVm: previousRecord?.vmId ?? '', waitMs: Math.round(earlierLeasesMs), isAfterReturn,
@@ -191,11 +188,17 @@
 			return;
 		}
 
-		const maps = controller.planMaps(this.#opts.getRules() ?? noRules, this.#readNowMs());
+		const maps = controller.planMaps(this.#opts.getRules() ?? noOwnershipRules, this.#readNowMs());
 		if (maps.length === 0 && this.#lease.measureRenewalAgeMs() < renewalIntervalMs) {
 			return;
 		}
 
+		if (this.#readNowMs() - this.#lastReadMs >= cleanupIntervalMs) {
+			// The next write removes the obsolete rows that this read finds.
+			await this.#readBack(controller);
+			return;
+		}
+
 		const written = await this.#lease.write({
 			maps, earlierLeasesMs: controller.earlierLeasesEndMs - this.#readNowMs(), areMapsCurrent: controller.hasCurrentMaps(this.#readNowMs()),
 		});
@@ -254,6 +257,7 @@
 	}
 
 	async #readBack(controller: RangeController): Promise<void> {
+		this.#lastReadMs = this.#readNowMs();
 		const readBack = await this.#lease.readBack();
 		if (this.#controller !== controller) {
 			return;
--- a/node/cell-link/src/controller-lease-types.ts
+++ b/node/cell-link/src/controller-lease-types.ts
@@ -1,6 +1,7 @@
 import type {FleetStore} from '@buckthornpoint/fleet/fleet-store.js';
 import type {RangeMap} from '@buckthornpoint/key-ranges/range-map.js';
 import type {ControllerRecord} from './controller-record.js';
+import type {LeaveRecord} from './leave-record.js';
 
 /** Identifies the node process that holds a controller lease. */
 export type ControlIdentity = {
@@ -18,6 +19,9 @@
 	readonly getEpoch: () => number;
 	/** Reads a monotonic clock. */
 	readonly readNowMs: () => number;
+	readonly readWallMs: () => number;
+	/** Called with the leave records that each lookup of the controller finds. */
+	readonly onLeaves: (leaves: readonly LeaveRecord[]) => void;
 };
 
 /** State found in the store when this node took over as controller. */
@@ -33,6 +37,7 @@
 	readonly earlierLeasesMs: number;
 	/** The same bound for the controllers before the previous one. */
 	readonly inheritedLeasesMs: number;
+	readonly leaves: readonly LeaveRecord[];
 };
 
 /** Result of a controller lookup. `contested`: there is no controller, and this node did not become it. */
--- a/node/cell-link/src/controller-lease.ts
+++ b/node/cell-link/src/controller-lease.ts
@@ -9,7 +9,9 @@
 import type {
 	ControllerLeaseOpts, ControllerSearchResult, ReadBackResult, Renewal,
 } from './controller-lease-types.js';
-import {cellTable, getMapKey, type ControllerRecord} from './controller-record.js';
+import {
+	cellTable, getMapKey, isSameController, type ControllerRecord,
+} from './controller-record.js';
 import {controllerTermMs, createTakeoverRecord, leaseHorizonMs} from './takeover-record.js';
 
 /** Time for the last controller to go on in a new era before another node takes over. It needs a fraction of this. */
@@ -76,7 +78,8 @@
 			return err(read.error);
 		}
 
-		const cell = decodeCell(read.value);
+		const cell = decodeCell(read.value, this.#opts.readWallMs());
+		this.#opts.onLeaves(cell.leaves);
 		const {record, era} = cell;
 		if (!this.#mayTakeOver(cell)) {
 			return ok(record?.era === era ? {kind: 'other', address: record.address} : {kind: 'contested'});
@@ -103,7 +106,7 @@
 			return read.isErr() ? err(read.error) : ok({kind: 'lost', epoch: 0});
 		}
 
-		const cell = decodeCell(read.value);
+		const cell = decodeCell(read.value, this.#opts.readWallMs());
 		if (cell.record?.era === cell.era && !isSameController(cell.record, held.record)) {
 			this.#held = undefined;
 			return ok({kind: 'lost', epoch: cell.record.epoch});
@@ -134,7 +137,7 @@
 			return read.isErr() ? err(read.error) : ok({kind: 'lost', epoch: 0});
 		}
 
-		const cell = decodeCell(read.value);
+		const cell = decodeCell(read.value, this.#opts.readWallMs());
 		if (cell.era !== held.era) {
 			return err(createFailure('unavailable', 'the store returned from an older copy; its rows say nothing of the failed write'));
 		}
@@ -215,7 +218,7 @@
 			return err(read.error);
 		}
 
-		const current = decodeCell(read.value);
+		const current = decodeCell(read.value, this.#opts.readWallMs());
 		if (written.value.era !== era || current.era !== era) {
 			return ok({kind: 'contested'});
 		}
@@ -236,6 +239,7 @@
 				isAfterReturn,
 				earlierLeasesMs: measureRemainingMs(record.earlierLeasesEndMs),
 				inheritedLeasesMs: measureRemainingMs(inheritedLeasesEndMs),
+				leaves: current.leaves,
 				...decodeMaps(current.mapRows),
 			},
 		});
@@ -272,7 +276,7 @@
 				era,
 				rowVersion: version,
 				eraRowVersion: base.eraRowVersion === 0 ? version : base.eraRowVersion,
-				earlierEraRows: [],
+				obsoleteRows: [],
 				mapVersions: new Map([...base.mapVersions, ...maps.map(({service}) => [getMapKey(service), version] as const)]),
 				maxStoreTimeMs: writtenMs,
 				storeTimeSampledAtMs: nowMs,
@@ -289,12 +293,8 @@
 	}
 }
 
-function isSameController(record: ControllerRecord, other: ControllerRecord): boolean {
-	return record.epoch === other.epoch && record.incarnation === other.incarnation;
-}
-
-function getVersions({era, row, mapVersions, eraRowVersion, earlierEraRows}: CellSnapshot): CellVersions {
+function getVersions({era, row, mapVersions, eraRowVersion, obsoleteRows}: CellSnapshot): CellVersions {
 	return {
-		era, rowVersion: row?.version ?? 0, mapVersions, eraRowVersion, earlierEraRows,
+		era, rowVersion: row?.version ?? 0, mapVersions, eraRowVersion, obsoleteRows,
 	};
 }
--- a/node/cell-link/src/controller-record.ts
+++ b/node/cell-link/src/controller-record.ts
@@ -76,3 +76,8 @@
 		lostEpoch: record.lostEpoch ?? 0,
 	}));
 }
+
+/** Returns whether two rows are of the same controller. */
+export function isSameController(record: ControllerRecord, other: ControllerRecord): boolean {
+	return record.epoch === other.epoch && record.incarnation === other.incarnation;
+}
--- a/node/cell-link/src/create-range-controller.ts
+++ b/node/cell-link/src/create-range-controller.ts
@@ -1,4 +1,6 @@
 import type {InheritedState, RangeControllerOpts} from '@buckthornpoint/key-ranges/controller-start.js';
+import {formatBackendInstanceKey} from '@buckthornpoint/key-ranges/key-ranges.js';
+import {LeavingInstances} from '@buckthornpoint/key-ranges/leaving-instances.js';
 import {RangeController} from '@buckthornpoint/key-ranges/range-controller.js';
 import type {RangeMap} from '@buckthornpoint/key-ranges/range-map.js';
 import type {Takeover} from './controller-lease-types.js';
@@ -8,10 +10,17 @@
  * stored ones, and any known VM may have run a controller of which the copy does not know.
  */
 export function createRangeController(
-	{record, previousRecord, maps, isAfterReturn, earlierLeasesMs, inheritedLeasesMs}: Takeover,
+	{
+		record, previousRecord, maps, isAfterReturn, earlierLeasesMs, inheritedLeasesMs, leaves,
+	}: Takeover,
 	{initialState, startMs, times}: {readonly initialState: InheritedState; readonly startMs: number; readonly times: RangeControllerOpts},
 ): RangeController {
 	const {maps: knownMaps = [], ...inherited} = initialState;
+	const leavingInstances = new LeavingInstances(inherited.leavingInstances);
+	for (const {vmId, id, bornMs} of leaves) {
+		leavingInstances.record(vmId, formatBackendInstanceKey(id, bornMs));
+	}
+
 	const latestMaps = isAfterReturn ? mergeLatest(maps, knownMaps) : maps;
 	const possibleVms = isAfterReturn
 		? [...latestMaps.flatMap(({vmIdByOwner}) => [...vmIdByOwner.values()]), ...(inherited.directory?.entries ?? []).map(({vmId}) => vmId)]
@@ -23,6 +32,7 @@
 		maps: latestMaps,
 		startMs,
 		...inherited,
+		leavingInstances,
 		earlierLeasesEndMs: startMs + earlierLeasesMs,
 		predecessors: {vmIds: knownVms, inheritedLeasesEndMs: startMs + inheritedLeasesMs},
 		...(isAfterReturn && {recovery: {knownVms}}),
--- a/node/cell-link/test/control-task.test.ts
+++ b/node/cell-link/test/control-task.test.ts
@@ -34,6 +34,7 @@
 		...simulatedOperatorState,
 		getInitialState: () => ({}),
 		announceTakeover: () => undefined,
+		onLeaves: () => undefined,
 		requestHeartbeats: () => undefined,
 		onEvent(event) {
 			events.push(event);
--- a/node/cell-link/test/late-write.test.ts
+++ b/node/cell-link/test/late-write.test.ts
@@ -23,6 +23,7 @@
 
 	const openLease = (vmId: string, ownClient: FleetStore): ControllerLease => new ControllerLease({
 		identity: {vmId, incarnation: vmId, address: vmId}, store: ownClient, getEpoch: () => 0, readNowMs: () => clock.readTimestamp().monotonicMs,
+		readWallMs: () => clock.readTimestamp().wallMs, onLeaves: () => undefined,
 	});
 	const finish = async <T>(call: Promise<T>): Promise<T> => {
 		for (let step = 0; step < 10; step++) {
--- a/node/cell-link/test/simulated-fleet.ts
+++ b/node/cell-link/test/simulated-fleet.ts
@@ -178,7 +178,7 @@
 			getRules: () => ({partitionedServices: new Set([service]), evacuatedDomains: new Set<string>()}),
 			getEpoch: () => member.epoch, ...simulatedOperatorState,
 			getInitialState: () => ({}),
-			announceTakeover: () => undefined,
+			announceTakeover: () => undefined, onLeaves: () => undefined,
 			requestHeartbeats: addresses => {
 				this.#requestHeartbeats(vm, addresses);
 			},
--- a/node/log/src/events.ts
+++ b/node/log/src/events.ts
@@ -39,6 +39,8 @@
 			readonly limitPerS: number | undefined; readonly sentPerS: number;
 		}
 		| {readonly event: 'announcement-ignored'; readonly id: string; readonly reason: string}
+		| {readonly event: 'leave-recorded'; readonly key: string; readonly isConfirmed: boolean; readonly tookMs: number}
+		| {readonly event: 'leave-not-recorded'; readonly key: string; readonly message: string}
 		| {readonly event: 'ranges-assigned'; readonly epoch: number; readonly version: string; readonly ranges: number}
 		| {readonly event: 'grant-shortened'; readonly omitted: number}
 		| {readonly event: 'settings-reloaded'; readonly outcome: string}
@@ -92,6 +94,8 @@
 	'backend-state': 'info',
 	'backend-limit': 'info',
 	'announcement-ignored': 'warn',
+	'leave-recorded': 'info',
+	'leave-not-recorded': 'warn',
 	'ranges-assigned': 'info',
 	'grant-shortened': 'warn',
 	'settings-reloaded': 'info',
--- a/node/mesh-daemon/src/backend-watch.ts
+++ b/node/mesh-daemon/src/backend-watch.ts
@@ -1,9 +1,12 @@
 import type {BackendGate} from '@buckthornpoint/backend-link/backend-gate.js';
-import {BackendRegistration, type RegistrationResult} from '@buckthornpoint/backend-link/backend-registration.js';
+import {
+	BackendRegistration, type Leave, type RegisteredBackend, type RegistrationResult,
+} from '@buckthornpoint/backend-link/backend-registration.js';
 import type {Clock} from '@buckthornpoint/clock/clock.js';
 import type {LeaseClock} from '@buckthornpoint/clock/lease-clock.js';
 import type {BackendHeartbeat} from '@buckthornpoint/fleet/announcements.js';
 import type {FleetView} from '@buckthornpoint/ingress/fleet-view.js';
+import {maxInstancesPerVm} from '@buckthornpoint/key-ranges/leaving-instances.js';
 import type {BackendReport, HeartbeatReply} from '@buckthornpoint/key-ranges/messages.js';
 import type {BackendInstanceKey} from '@buckthornpoint/key-ranges/key-ranges.js';
 import {RangeMember, type BackendHoldings, type Grant} from '@buckthornpoint/key-ranges/range-member.js';
@@ -33,6 +36,10 @@
 	readonly #registration: BackendRegistration;
 	#gate: BackendGate | undefined;
 	#evacuatedSinceMs: number | undefined;
+	/** Whether the node knows which instances of the server announced to an earlier node process that they leave. Until then none counts as ready. */
+	#areLeavesKnown = false;
+	/** Whether the store could not be asked for the announcements, so that the controller's reply has to do. */
+	#isStoreUnavailable = false;
 	/** Whether the evacuation orders were known at the last refresh. */
 	#hadOrders = false;
 
@@ -68,6 +75,10 @@
 				this.#opts.log.write({event: 'announcement-ignored', id: heartbeat.id, reason: result.reason});
 			}
 
+			if (result.kind === 'outdated' && result.isStateChange) {
+				this.#reportLeaving('announced by the server, out of order');
+			}
+
 			return {result, grant: undefined};
 		}
 
@@ -91,9 +102,11 @@
 		return {result, grant};
 	}
 
-	/** Handles a leave call: the server is deregistering. */
-	handleLeave(id: string, bornMs: number): void {
-		if (this.#registration.handleLeave(id, bornMs, this.#readNowMs())) {
+	/** Handles a leave call: the server is deregistering. Returns the leaving instance as far as it is known. */
+	handleLeave(id: string, bornMs: number): Leave {
+		const {monotonicMs, wallMs} = this.#opts.clock.readTimestamp();
+		const {leave, isCurrent} = this.#registration.handleLeave({id, bornMs, leftAtMs: wallMs}, monotonicMs);
+		if (isCurrent) {
 			const {current} = this.#registration;
 			this.#opts.log.write({
 				event: 'backend-state', key: current?.key ?? '', service: current?.service ?? '', state: 'gone', coldMs: 0, reason: 'the server deregistered',
@@ -101,8 +114,11 @@
 			this.refresh();
 			this.#opts.onChange();
 		} else {
-			this.#opts.log.write({event: 'announcement-ignored', id, reason: 'the leave call does not name the registered instance of the local backend server'});
+			this.#opts.log.write({event: 'announcement-ignored', id, reason: 'the leave call names no registered instance; it applies to later heartbeats of that instance'});
+			this.#opts.onChange();
 		}
+
+		return leave;
 	}
 
 	/** Records that no process listens at the server's address. */
@@ -118,9 +134,27 @@
 		}
 	}
 
+	/** Applies the announcements that the store has from earlier node processes; undefined if the store could not be asked. */
+	recordLeaves(leaves: readonly Leave[] | undefined): void {
+		if (leaves === undefined) {
+			this.#isStoreUnavailable = true;
+			return;
+		}
+
+		const isNewlyLeaving = this.#registration.recordLeaves(leaves);
+		this.#setLeavesKnown();
+		if (isNewlyLeaving) {
+			this.#reportLeaving('announced to an earlier node process');
+		}
+	}
+
 	/** Applies the controller's reply to a heartbeat that was sent at `sentMs` and reported `backend`. Returns whether the assigned ranges changed. */
 	applyReply(reply: HeartbeatReply, sentMs: number, backend: BackendInstanceKey | undefined): boolean {
 		this.#applyLeaving(reply.left ?? [], {sinceMs: Number.NEGATIVE_INFINITY, reason: 'the server deregistered at an earlier node process'});
+		if (this.#isStoreUnavailable) {
+			this.#setLeavesKnown();
+		}
+
 		return this.member.applyReply(reply, sentMs, backend);
 	}
 
@@ -146,7 +180,7 @@
 	refresh(): void {
 		const nowMs = this.#readNowMs();
 		this.#updateEvacuation(nowMs);
-		const {current} = this.#registration;
+		const current = this.#getCurrent();
 		if (current === undefined) {
 			this.#gate?.setBackend(undefined);
 			return;
@@ -167,7 +201,7 @@
 
 	/** Creates the report on the server for a heartbeat to the controller. */
 	createReport(): BackendReport | undefined {
-		const {current} = this.#registration;
+		const current = this.#getCurrent();
 		if (current === undefined) {
 			return undefined;
 		}
@@ -198,6 +232,23 @@
 		return this.#registration.ended;
 	}
 
+	/** Lists the latest instances that are known to be leaving, the latest last. */
+	listLeavingInstances(): readonly BackendInstanceKey[] {
+		return this.#registration.listLeaving().slice(-maxInstancesPerVm);
+	}
+
+	#getCurrent(): RegisteredBackend | undefined {
+		return this.#areLeavesKnown ? this.#registration.current : undefined;
+	}
+
+	#setLeavesKnown(): void {
+		if (!this.#areLeavesKnown) {
+			this.#areLeavesKnown = true;
+			this.refresh();
+			this.#opts.onChange();
+		}
+	}
+
 	#deriveLeaving(): {readonly reason: 'leaving' | 'evacuated'; readonly lastSendMs: number} | undefined {
 		const {current} = this.#registration;
 		if (current?.leavingSinceMs !== undefined) {
@@ -209,15 +260,19 @@
 
 	#applyLeaving(keys: readonly BackendInstanceKey[], {sinceMs, reason}: {readonly sinceMs: number; readonly reason: string}): void {
 		if (this.#registration.recordLeavingInstances(keys, sinceMs)) {
-			const {current} = this.#registration;
-			this.#opts.log.write({
-				event: 'backend-state', key: current?.key ?? '', service: current?.service ?? '', state: 'draining', coldMs: 0, reason,
-			});
-			this.refresh();
-			this.#opts.onChange();
+			this.#reportLeaving(reason);
 		}
 	}
 
+	#reportLeaving(reason: string): void {
+		const {current} = this.#registration;
+		this.#opts.log.write({
+			event: 'backend-state', key: current?.key ?? '', service: current?.service ?? '', state: 'draining', coldMs: 0, reason,
+		});
+		this.refresh();
+		this.#opts.onChange();
+	}
+
 	/** A server may become cold while its failure domain is evacuated. It is treated as cold afterwards, until it reports otherwise. */
 	#updateEvacuation(nowMs: number): void {
 		const isEvacuated = this.#opts.view.isEvacuated(this.#opts.settings.failureDomain);
--- a/node/mesh-daemon/src/create-heartbeat.ts
+++ b/node/mesh-daemon/src/create-heartbeat.ts
@@ -17,6 +17,7 @@
 	settings, view, watch, incarnation, isStopping,
 }: HeartbeatParts): MemberHeartbeat {
 	const backend = watch.createReport();
+	const leaving = watch.listLeavingInstances();
 	return {
 		vmId: settings.vmId,
 		incarnation,
@@ -32,5 +33,6 @@
 		mapVersions: view.listMapVersions(),
 		...(backend !== undefined && {backend}),
 		ended: watch.listEndedInstances(),
+		...(leaving.length > 0 && {leaving}),
 	};
 }
--- a/node/mesh-daemon/src/mesh-node.ts
+++ b/node/mesh-daemon/src/mesh-node.ts
@@ -2,7 +2,7 @@
 import type {Clock, Timer} from '@buckthornpoint/clock/clock.js';
 import {LeaseClock} from '@buckthornpoint/clock/lease-clock.js';
 import type {RandomSource} from '@buckthornpoint/clock/random.js';
-import {ControlTask} from '@buckthornpoint/cell-link/control-task.js';
+import type {ControlTask} from '@buckthornpoint/cell-link/control-task.js';
 import {MemberTask, type ControlCall, type NodeNotice} from '@buckthornpoint/cell-link/member-task.js';
 import {RoutesFetch, RoutesSource, type RoutesCall} from '@buckthornpoint/cell-link/routes-fetch.js';
 import {RoutesTask} from '@buckthornpoint/cell-link/routes-task.js';
@@ -20,11 +20,13 @@
 import {BackendWatch} from './backend-watch.js';
 import {ControllerReplies} from './controller-replies.js';
 import {createPeerLinks, createStore} from './create-connections.js';
+import {createControlTask} from './create-control-task.js';
 import {createGate} from './create-gate.js';
 import {createHeartbeat} from './create-heartbeat.js';
 import {handlePeerRequest} from './handle-peer-request.js';
 import {createReadinessResponse} from './readiness-response.js';
-import {logControlEvent, logRequest} from './log-decisions.js';
+import {LeaveRecorder} from './leave-recorder.js';
+import {logRequest} from './log-decisions.js';
 import {NodeMetrics} from './node-metrics.js';
 import {runPlannedStop} from './planned-stop.js';
 import {SimpleHttpServer} from './simple-http-server.js';
@@ -52,6 +54,7 @@
 	readonly #timeouts: MeshTimeouts;
 	readonly #view = new FleetView();
 	readonly #store: RowStore;
+	readonly #leaves: LeaveRecorder;
 	readonly #leaseClock: LeaseClock;
 	readonly #watch: BackendWatch;
 	readonly #gate: BackendGate;
@@ -84,6 +87,10 @@
 		this.#timeouts = deriveTimeouts(settings);
 		this.#store = createStore(settings.store, opts.log, () => {
 			this.#routes.refresh();
+			this.#leaves.restore();
+		});
+		this.#leaves = new LeaveRecorder({
+			...opts, vmId: settings.vmId, store: this.#store, isLeading: () => this.#control.isLeading,
 		});
 		this.#leaseClock = new LeaseClock(opts.clock);
 		this.#watch = new BackendWatch({
@@ -117,8 +124,13 @@
 			},
 		});
 		this.#readiness = new SimpleHttpServer(call => createReadinessResponse(call, !this.#isStopping && this.#view.routeTable !== undefined));
-		this.#announcements = new SimpleHttpServer(call => handleAnnouncement(call, {watch: this.#watch, log: opts.log, isEnding: () => this.#isEnding}));
-		this.#control = this.#createControlTask();
+		this.#announcements = new SimpleHttpServer(async call => handleAnnouncement(call, {
+			watch: this.#watch, log: opts.log, clock: opts.clock, recordLeave: async leave => this.#leaves.record(leave), isEnding: () => this.#isEnding,
+		}));
+		this.#control = createControlTask({
+			...opts, settings, timeouts: this.#timeouts, store: this.#store, view: this.#view, watch: this.#watch, links: this.#links,
+			getRoutes: () => ({task: this.#routes, fetch: this.#routesFetch}),
+		});
 		this.#member = this.#createMemberTask();
 		this.#metrics = new NodeMetrics({
 			gate: this.#gate,
@@ -204,7 +216,7 @@
 	}
 
 	close(): void {
-		const tasks = [this.#timer, this.#routes, this.#routesFetch, this.#member, this.#control];
+		const tasks = [this.#timer, this.#leaves, this.#routes, this.#routesFetch, this.#member, this.#control];
 		this.#router.stop();
 		for (const part of [...tasks, this.#gate, this.#links, this.#peers, this.#callers, this.#readiness, this.#announcements, this.#metricsServer]) {
 			part?.close();
@@ -231,38 +243,6 @@
 		});
 	}
 
-	#createControlTask(): ControlTask {
-		const {clock, random, incarnation} = this.#opts;
-		return new ControlTask({
-			identity: {vmId: this.#settings.vmId, incarnation, address: this.#settings.listen.peers},
-			store: this.#store,
-			clock,
-			random,
-			times: this.#timeouts.controller,
-			getEpoch: () => this.#watch.member.epoch,
-			getRules: () => this.#view.getOwnershipRules(),
-			getRoutesVersion: () => this.#view.routeTable?.version ?? 0,
-			onLaterRoutes: (version, address) => {
-				this.#routesFetch.request(version, address);
-			},
-			getEvacuation: () => this.#view.getEvacuation(),
-			listRetainedEvacuations: () => this.#routes.listRetained(),
-			getInitialState: () => this.#view.getControllerInitialState(),
-			requestHeartbeats: addresses => {
-				this.#links.notify(addresses, {} satisfies NodeNotice);
-			},
-			announceTakeover: epoch => {
-				this.#links.notify(this.#view.listPeers(this.#settings.listen.peers), {controller: {address: this.#settings.listen.peers, epoch}} satisfies NodeNotice);
-			},
-			onEvent: event => {
-				logControlEvent(this.#opts.log, event);
-				if (event.kind === 'store-regained') {
-					this.#routes.refresh();
-				}
-			},
-		});
-	}
-
 	#createMemberTask(): MemberTask {
 		return new MemberTask({
 			address: this.#settings.listen.peers,
@@ -276,6 +256,9 @@
 			}),
 			applyReply: (reply, sentMs, backend) => {
 				this.#controllerReplies.apply(reply, sentMs, backend);
+				if (!this.#control.isLeading) {
+					this.#leaves.recordConfirmed(reply.left ?? []);
+				}
 			},
 			onEvent: event => {
 				this.#opts.log.write({event: 'control-event', kind: event.kind, detail: JSON.stringify(event)});
--- a/node/mesh-daemon/test/answer-state.test.ts
+++ b/node/mesh-daemon/test/answer-state.test.ts
@@ -210,6 +210,7 @@
 			reports++;
 		},
 	});
+	watch.recordLeaves([]);
 	const gate = createGate(ownSettings, clock, watch);
 	t.after(() => {
 		gate.close();
--- a/node/mesh-daemon/test/backend-watch.test.ts
+++ b/node/mesh-daemon/test/backend-watch.test.ts
@@ -40,13 +40,17 @@
 	};
 }
 
-/** The watch of a node process that has just started. */
-function createWatch(): {readonly watch: BackendWatch; readonly view: FleetView; readonly clock: ManualClock} {
+/** The watch of a node process that has just started. `isLookedUp`: the store named no server that leaves. */
+function createWatch({isLookedUp = true} = {}): {readonly watch: BackendWatch; readonly view: FleetView; readonly clock: ManualClock} {
 	const clock = new ManualClock();
 	const view = new FleetView();
 	const watch = new BackendWatch({
 		settings, timeouts: deriveTimeouts(settings), clock, leaseClock: new LeaseClock(clock), view, log: new SilentLog(), onChange: () => undefined,
 	});
+	if (isLookedUp) {
+		watch.recordLeaves([]);
+	}
+
 	return {watch, view, clock};
 }
 
@@ -103,3 +107,27 @@
 		assert.equal(outcome?.kind === 'not-run' ? outcome.reason : undefined, reason);
 	}
 });
+
+test('a late ready heartbeat that a restarted node gets makes no server ready that announced its leave to the process before', () => {
+	for (const leaves of [[{id: 'i-1', bornMs, leftAtMs: 1000}], [{id: 'i-1', bornMs: 0, leftAtMs: 1000}]]) {
+		const {watch, view} = createWatch({isLookedUp: false});
+		view.setRoutes(createRoutes(false), '');
+		watch.handleHeartbeat(createHeartbeat([]));
+		assert.equal(watch.createReport(), undefined, 'nothing is known of leave calls yet');
+		watch.recordLeaves(leaves);
+		assert.equal(watch.createReport()?.state, 'draining');
+		assert.deepEqual(watch.listLeavingInstances(), [serverKey]);
+	}
+});
+
+test('a restarted node that cannot ask the store learns from the controller whether its server is leaving', () => {
+	for (const [left, state] of [[[serverKey], 'draining'], [[], 'ready']] as const) {
+		const {watch} = createWatch({isLookedUp: false});
+		watch.handleHeartbeat(createHeartbeat([]));
+		watch.applyReply({...withdrawingReply, left}, 0, serverKey);
+		assert.equal(watch.createReport(), undefined, 'the store may know of a leave call that the controller does not');
+		watch.recordLeaves(undefined);
+		watch.applyReply({...withdrawingReply, left}, 0, serverKey);
+		assert.equal(watch.createReport()?.state, state);
+	}
+});
