fix: never send a request again on the connection that carried its refusal

Cause: only the owner can run a keyed request, so after a refusal it gets the request once more, at once, and on the connection that became idle last: that of the refusal. Both sendings have the same id. A late second copy of the refusal therefore matched the second sending, which the server was running. An answer that several sendings can claim proves nothing about the last one.

Change: a connection remembers the requests that it answered without a final answer and does not carry them again; the second sending takes another connection, on which only its own answer can arrive. The copy closes the first connection, or is skipped by its id. After 32 such requests the connection is closed, so that nothing has to be forgotten. For the same reason an answer without an id counts only on a connection that has carried no other request.

--- a/node/backend-link/src/backend-connection.ts
+++ b/node/backend-link/src/backend-connection.ts
@@ -1,6 +1,7 @@
 import {Buffer} from 'node:buffer';
 import {createConnection, type Socket} from 'node:net';
 import type {AnswerMemoryLimit} from './answer-memory-limit.js';
+import type {AnswerMatch} from './classify-response.js';
 import {ResponseParser, type ParsedResponse} from './response-parser.js';
 
 /** The result of one request on a connection. */
@@ -23,8 +24,8 @@
 export type BackendConnectionOpts = {
 	readonly host: string;
 	readonly port: number;
-	/** Returns whether an answer belongs to the request; an extra answer to an earlier request is dropped. */
-	readonly isAnswerTo: (response: ParsedResponse, requestId: string) => boolean;
+	/** Compares an answer with the pending request; an extra answer to an earlier request is dropped. */
+	readonly evaluateMatch: (response: ParsedResponse, requestId: string) => AnswerMatch;
 	/** Memory limit for incomplete answers, shared by the connections to the server. */
 	readonly memoryLimit: AnswerMemoryLimit;
 	/** Called once, when the connection is closed. */
@@ -46,6 +47,9 @@
 /** Answers to other requests that are skipped before the expected one. A server that sends more is assumed never to stop. */
 const maxMismatchedAnswers = 8;
 
+/** Requests on one connection that were answered and may be sent again. With more, the connection is closed after the answer. */
+const maxRepeatableRequests = 32;
+
 /** An idle connection is not reused this close to the server's idle timeout: the server's close may be in transit. */
 const idleTimeoutMarginMs = 1500;
 
@@ -61,6 +65,9 @@
 	#idleTimeoutMs = defaultIdleTimeoutMs;
 	#idleSinceMs = 0;
 	#mismatchedAnswers = 0;
+	#hasCarriedRequests = false;
+	/** Ids of requests that were answered here and may be sent again. */
+	readonly #repeatableIds = new Set<string>();
 
 	constructor(opts: BackendConnectionOpts) {
 		this.#opts = opts;
@@ -102,6 +109,14 @@
 		return !this.#isClosed && this.#pending === undefined && nowMs - this.#idleSinceMs < this.#idleTimeoutMs - idleTimeoutMarginMs;
 	}
 
+	/**
+	 * Whether the connection can carry a request. One that was answered here before can't be sent here again: a second copy of that
+	 * answer would look like the answer to the later sending, and a refusal would prove something false.
+	 */
+	mayCarry(requestId: string): boolean {
+		return !this.#repeatableIds.has(requestId);
+	}
+
 	/** Records when the connection became idle. */
 	recordIdle(nowMs: number): void {
 		this.#idleSinceMs = nowMs;
@@ -132,20 +147,37 @@
 		}
 
 		try {
-			let response = this.#parser.read(chunk, this.#pending.method);
-			while (response !== undefined && !this.#opts.isAnswerTo(response, this.#pending.requestId)) {
+			const {method} = this.#pending;
+			let response = this.#parser.read(chunk, method);
+			while (response !== undefined && !this.#handleResponse(response)) {
 				this.#recordMismatchedAnswer();
-				response = this.#parser.read(undefined, this.#pending.method);
-			}
-
-			if (response !== undefined) {
-				this.#complete(response);
+				response = this.#parser.read(undefined, method);
 			}
 		} catch (error) {
 			this.#fail(error instanceof Error ? error.message : String(error));
 		}
 	}
 
+	/** Completes the pending request if the answer belongs to it. Returns whether it does. */
+	#handleResponse(response: ParsedResponse): boolean {
+		const {requestId} = this.#pending!;
+		const match = this.#opts.evaluateMatch(response, requestId);
+		if (match === 'mismatched') {
+			return false;
+		}
+
+		if (match === 'unidentified' && this.#hasCarriedRequests) {
+			throw new Error('received an answer that names no request, on a connection that has carried several');
+		}
+
+		if (match !== 'final') {
+			this.#repeatableIds.add(requestId);
+		}
+
+		this.#complete(response);
+		return true;
+	}
+
 	#recordMismatchedAnswer(): void {
 		this.#mismatchedAnswers++;
 		if (this.#mismatchedAnswers > maxMismatchedAnswers) {
@@ -157,8 +189,9 @@
 		const pending = this.#pending;
 		this.#pending = undefined;
 		this.#mismatchedAnswers = 0;
+		this.#hasCarriedRequests = true;
 		this.#idleTimeoutMs = response.maxIdleMs ?? this.#idleTimeoutMs;
-		if (!response.isKeptAlive || this.#parser.hasBufferedBytes) {
+		if (!response.isKeptAlive || this.#parser.hasBufferedBytes || this.#repeatableIds.size >= maxRepeatableRequests) {
 			this.#closeSocket();
 		}
 
@@ -167,12 +200,15 @@
 
 	#handleEnd(): void {
 		const response = this.#pending === undefined ? undefined : this.#parser.close();
-		if (response !== undefined && this.#opts.isAnswerTo(response, this.#pending!.requestId)) {
-			this.#complete(response);
-			return;
-		}
+		try {
+			if (response !== undefined && this.#handleResponse(response)) {
+				return;
+			}
 
-		this.#fail('the backend server ended the connection');
+			this.#fail('the backend server ended the connection');
+		} catch (error) {
+			this.#fail(error instanceof Error ? error.message : String(error));
+		}
 	}
 
 	#fail(reason: string, isRefused = false): void {
--- a/node/backend-link/src/backend-gate.ts
+++ b/node/backend-link/src/backend-gate.ts
@@ -9,7 +9,7 @@
 import {DemandMeter} from './demand-meter.js';
 import type {GateBackend} from './gate-backend.js';
 import {checkRequest} from './check-request.js';
-import {isAnswerTo, classifyResponse} from './classify-response.js';
+import {classifyResponse, evaluateMatch} from './classify-response.js';
 import {
 	createNotRun, type Outcome, type OwnerLoad, type OwnerRequest,
 } from './outcome.js';
@@ -282,7 +282,7 @@
 			host: this.#opts.host,
 			port: this.#opts.port,
 			readNowMs: () => this.#readNowMs(),
-			isAnswerTo,
+			evaluateMatch,
 		});
 		return this.#pool;
 	}
--- a/node/backend-link/src/backend-pool.ts
+++ b/node/backend-link/src/backend-pool.ts
@@ -4,7 +4,7 @@
 } from './backend-connection.js';
 
 /** Address of the backend server, and the check that assigns answers to requests. */
-export type BackendPoolOpts = Pick<BackendConnectionOpts, 'host' | 'port' | 'isAnswerTo'> & {
+export type BackendPoolOpts = Pick<BackendConnectionOpts, 'host' | 'port' | 'evaluateMatch'> & {
 	/** Reads a monotonic clock. */
 	readonly readNowMs: () => number;
 };
@@ -22,7 +22,7 @@
 
 	/** Sends a request. The returned function closes its connection. */
 	send(request: BackendRequest, requestId: string, finish: (exchange: Exchange) => void): () => void {
-		const connection = this.#pickIdle() ?? this.#open();
+		const connection = this.#pickIdle(requestId) ?? this.#open();
 		connection.send(request, requestId, exchange => {
 			if (!connection.isClosed) {
 				connection.recordIdle(this.#opts.readNowMs());
@@ -51,18 +51,10 @@
 		}
 	}
 
-	#pickIdle(): BackendConnection | undefined {
-		const nowMs = this.#opts.readNowMs();
-		while (this.#idleConnections.length > 0) {
-			const connection = this.#idleConnections.pop()!;
-			if (connection.isUsable(nowMs)) {
-				return connection;
-			}
-
-			connection.close();
-		}
-
-		return undefined;
+	#pickIdle(requestId: string): BackendConnection | undefined {
+		this.closeIdle();
+		const index = this.#idleConnections.findLastIndex(connection => connection.mayCarry(requestId));
+		return index === -1 ? undefined : this.#idleConnections.splice(index, 1)[0];
 	}
 
 	#open(): BackendConnection {
--- a/node/backend-link/src/classify-response.ts
+++ b/node/backend-link/src/classify-response.ts
@@ -1,4 +1,4 @@
-import {readBackendHeaders, selectForwardedAnswerHeaders} from '@buckthornpoint/fleet/headers.js';
+import {readBackendHeaders, selectForwardedAnswerHeaders, type BackendHeaders} from '@buckthornpoint/fleet/headers.js';
 import {createNotRun, type Outcome} from './outcome.js';
 import type {ParsedResponse} from './response-parser.js';
 
@@ -37,8 +37,7 @@
 		return {...state, outcome: createNotRun(status === statusMisdirected ? 'not-held' : 'refused-by-backend', fields.retryAfterMs ?? refusedRetryAfterMs, true)};
 	}
 
-	const isSuccess = status >= firstSuccessStatus && status < firstRedirectStatus;
-	if (fields.hasContentEncoding || (isSuccess && !fields.isSealed)) {
+	if (isGarbled(status, fields)) {
 		return {...state, outcome: {kind: 'unknown', reason: 'garbled'}};
 	}
 
@@ -49,10 +48,32 @@
 	};
 }
 
-/** Whether an answer belongs to the request: it has the request's id, or it has none and its status is not a success. */
-export function isAnswerTo({status, headers}: ParsedResponse, requestId: string): boolean {
+/**
+ * How an answer on a connection relates to the request that awaits one:
+ * - `mismatched`: it has another id, or it is a success without an id;
+ * - `unidentified`: it has no id and may belong to any request that the connection carried;
+ * - `final`: it answers the request;
+ * - `repeatable`: it answers the request, which may be sent again after it.
+ */
+export type AnswerMatch = 'mismatched' | 'unidentified' | 'final' | 'repeatable';
+
+/** Compares an answer with the request that awaits one. */
+export function evaluateMatch({status, headers}: ParsedResponse, requestId: string): AnswerMatch {
 	const fields = readBackendHeaders(status, headers);
-	return fields.requestId === requestId || (fields.requestId === undefined && status >= firstRedirectStatus);
+	if (fields.requestId === undefined) {
+		return status >= firstRedirectStatus ? 'unidentified' : 'mismatched';
+	}
+
+	if (fields.requestId !== requestId) {
+		return 'mismatched';
+	}
+
+	return fields.isNotExecuted || isGarbled(status, fields) ? 'repeatable' : 'final';
+}
+
+function isGarbled(status: number, {hasContentEncoding, isSealed}: BackendHeaders): boolean {
+	const isSuccess = status >= firstSuccessStatus && status < firstRedirectStatus;
+	return hasContentEncoding || (isSuccess && !isSealed);
 }
 
 /** Whether an outcome counts as a failure of the server. A 504 of the server does not: it means that the time was too short. */
--- a/node/backend-link/test/backend-gate.test.ts
+++ b/node/backend-link/test/backend-gate.test.ts
@@ -97,6 +97,64 @@
 	close(fixture);
 });
 
+test('a second copy of a refusal does not count as the answer to the next sending of the same request, which the server runs', async () => {
+	const sockets: Socket[] = [];
+	const fixture = await openFixture((socket, id, count) => {
+		sockets.push(socket);
+		if (count === 1) {
+			socket.write(formatRefusal(id));
+			return;
+		}
+
+		// The copy arrives on the first connection while the server runs the request.
+		sockets[0]!.write(formatRefusal(id));
+		setTimeout(() => {
+			socket.write(formatAnswer(id, 'ran'));
+		}, 50);
+	});
+	const first = await run(fixture, createRequest('a'));
+	const second = await run(fixture, createRequest('a'));
+	assert.deepEqual([first.kind, second.kind], ['not-run', 'answer']);
+	assert.notEqual(sockets[0], sockets[1]);
+	close(fixture);
+});
+
+test('a refusal without an id proves nothing on a connection that has carried another request', async () => {
+	const refusal = 'HTTP/1.1 503 x\r\nBuckthornpoint-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n';
+	const fixture = await openFixture((socket, id, count) => {
+		socket.write(count === 1 ? formatAnswer(id, 'ok') : refusal);
+	});
+	const kinds = [await run(fixture, createRequest('a')), await run(fixture, createRequest('b'))].map(({kind}) => kind);
+	assert.deepEqual(kinds, ['answer', 'unknown']);
+	close(fixture);
+});
+
+test('a connection is closed before the requests that may be sent again take up unlimited memory', async () => {
+	const sockets = new Set<Socket>();
+	const fixture = await openFixture((socket, id) => {
+		sockets.add(socket);
+		socket.write(formatRefusal(id));
+	});
+	for (let index = 0; index < 33; index++) {
+		await run(fixture, createRequest(`a-${index}`));
+	}
+
+	assert.equal(sockets.size, 2);
+	close(fixture);
+});
+
+test('an answer whose head was cut off, or whose body is shorter than its length, is not passed on', async () => {
+	const whole = formatAnswer('a', 'body');
+	const headLength = whole.indexOf('\r\n\r\n');
+	const cuts = [15, headLength - 20, headLength, headLength + 2, whole.length - 1];
+	for (const length of cuts) {
+		const fixture = await openFixture(socket => socket.end(whole.slice(0, length)));
+		const outcome = await run(fixture, createRequest('a'));
+		assert.equal(outcome.kind, 'unknown', `after ${length} bytes`);
+		close(fixture);
+	}
+});
+
 test('only an explicit refusal by the server proves that a request was not run', async () => {
 	const answers: readonly Answer[] = [
 		(socket, id) => socket.write(formatRefusal(id)),
