fix: count a call that was sent to an earlier process as possibly run, whichever connection resumes it

What callers saw: nothing in a trace. A pending call of before was then reported as never received, which proves that it has not run, so that a request that must not run twice was sent again although it had run.

Cause: "the session had an earlier connection" was taken for "the session would have seen the call". The session had just begun and knew of no calls: none known is not none.

Change: a ping names the link's next call id. A new session takes it as the first id that it can know of; calls with lower ids may have been received. Pings of nodes of the release before name none, and then every call that is neither running nor answered counts as possibly received.

Measured: the test in resume.test.ts failed before ({hasCome: false}) and passes.

--- a/node/peers/src/peer-link.ts
+++ b/node/peers/src/peer-link.ts
@@ -274,7 +274,7 @@
 	}
 
 	#encodePing(): Buffer {
-		return encodeFrame(frameTypes.ping, 0, {sentMs: this.#readNowMs(), session: this.#opts.session} satisfies SentPing);
+		return encodeFrame(frameTypes.ping, 0, {sentMs: this.#readNowMs(), session: this.#opts.session, nextId: this.#nextId} satisfies SentPing);
 	}
 
 	#fail(reason: string): void {
--- a/node/peers/src/peer-messages.ts
+++ b/node/peers/src/peer-messages.ts
@@ -23,7 +23,11 @@
 };
 
 /** A ping, with the sender's clock at the time of sending and the id of its link. */
-export type SentPing = Pick<SentRequest, 'sentMs'> & {readonly session: string};
+export type SentPing = Pick<SentRequest, 'sentMs'> & {
+	readonly session: string;
+	/** Id of the link's next call: calls with lower ids may have been sent on earlier connections. Nodes of earlier versions don't send it. */
+	readonly nextId?: number;
+};
 
 /** Sent on the replacement of a broken connection: the ids of the calls that are still pending. */
 export type ResumedCalls = {readonly ids: readonly number[]};
--- a/node/peers/src/peer-server.ts
+++ b/node/peers/src/peer-server.ts
@@ -218,10 +218,15 @@
 
 	/** A ping provides a sample of the transit time and identifies the link of the connection. */
 	#handlePing({id, meta}: Frame, connection: Connection): void {
-		const {sentMs, session: name} = meta as SentPing; // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion
+		const {sentMs, session: name, nextId} = meta as SentPing; // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion
 		connection.transitMeter.measureDelay(sentMs, this.#clock.readTimestamp().monotonicMs);
-		const session = this.#sessions.get(name) ?? connection.session;
-		this.#sessions.set(name, session);
+		const known = this.#sessions.get(name);
+		const session = known ?? connection.session;
+		if (known === undefined) {
+			this.#sessions.set(name, session);
+			session.recordStart(nextId);
+		}
+
 		connection.session = session;
 		session.setSocket(connection.socket);
 		connection.socket.write(encodeFrame(frameTypes.pong, id, undefined));
--- a/node/peers/src/peer-session.ts
+++ b/node/peers/src/peer-session.ts
@@ -23,9 +23,8 @@
 	/** The highest call id received. Ids are sent in ascending order, so all calls up to this one were received. */
 	#highestId = 0;
 	#socket: Socket | undefined;
-	/** Whether the session had an earlier connection. If not, the calls of a resuming link were sent to an earlier process, and their state is unknown. */
-	#isResumed = false;
-	#hadConnection = false;
+	/** Calls with lower ids may have been sent to an earlier process or session, and their state is unknown. */
+	#firstId = Number.POSITIVE_INFINITY;
 
 	constructor(clock: Clock) {
 		this.#clock = clock;
@@ -42,8 +41,6 @@
 			return;
 		}
 
-		this.#isResumed = this.#hadConnection;
-		this.#hadConnection = true;
 		this.#socket = socket;
 		earlier?.destroy();
 	}
@@ -58,6 +55,11 @@
 		return isPresent;
 	}
 
+	/** Records the start of the session: the link sends calls with lower ids on earlier connections only. */
+	recordStart(nextId: number | undefined): void {
+		this.#firstId = nextId ?? Number.POSITIVE_INFINITY;
+	}
+
 	/** Records a received call. */
 	recordCall(id: number): void {
 		this.#highestId = Math.max(this.#highestId, id);
@@ -106,7 +108,7 @@
 			}
 		}
 
-		return ids.filter(id => !this.#cancelByCall.has(id) && !this.#storedAnswers.has(id)).map(id => ({id, hasCome: !this.#isResumed || id <= this.#highestId}));
+		return ids.filter(id => !this.#cancelByCall.has(id) && !this.#storedAnswers.has(id)).map(id => ({id, hasCome: id < this.#firstId || id <= this.#highestId}));
 	}
 
 	#write(bytes: Buffer): void {
--- a/node/peers/test/resume.test.ts
+++ b/node/peers/test/resume.test.ts
@@ -1,4 +1,5 @@
 import assert from 'node:assert/strict';
+import {Buffer} from 'node:buffer';
 import {
 	createConnection, createServer, type AddressInfo, type Server, type Socket,
 } from 'node:net';
@@ -6,7 +7,7 @@
 import test, {type TestContext} from 'node:test';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {SystemClock} from '@buckthornpoint/clock/system-clock.js';
-import {frameTypes} from '@buckthornpoint/frames/frames.js';
+import {encodeFrame, FrameReader, frameTypes} from '@buckthornpoint/frames/frames.js';
 import type {CallFailure} from '../src/peer-messages.js';
 import {PeerLinks} from '../src/peer-links.js';
 import {PeerServer, type Reply} from '../src/peer-server.js';
@@ -238,3 +239,36 @@
 	await waitFor(() => cancelled.length > 0);
 	assert.deepEqual(cancelled, ['safe']);
 });
+
+test('a call that was sent to an earlier process may have run, also if the first connection to the new process broke after its ping', async t => {
+	const clock = new SystemClock();
+	const server = new PeerServer(clock, {
+		onRequest: () => () => undefined, onCall: () => undefined, onNotice: () => undefined, onProblem: () => undefined,
+	});
+	await server.listen('127.0.0.1', 0);
+	const sockets: Socket[] = [];
+	t.after(() => {
+		server.close();
+		for (const socket of sockets) {
+			socket.destroy();
+		}
+	});
+	const exchange = async (frames: readonly Buffer[], isAnswered: (type: number) => boolean): Promise<unknown> => new Promise(resolve => {
+		const socket = createConnection({host: '127.0.0.1', port: server.getPort()});
+		const reader = new FrameReader();
+		sockets.push(socket);
+		socket.write(Buffer.concat(frames));
+		socket.on('data', chunk => {
+			for (const {type, meta} of reader.read(chunk)) {
+				if (isAnswered(type)) {
+					resolve(meta);
+				}
+			}
+		});
+	});
+	const ping = encodeFrame(frameTypes.ping, 0, {sentMs: 0, session: 'link', nextId: 6});
+	await exchange([ping], type => type === frameTypes.pong);
+	sockets[0]!.destroy();
+	const missing = await exchange([ping, encodeFrame(frameTypes.resume, 0, {ids: [5]})], type => type === frameTypes.missing);
+	assert.deepEqual(missing, {hasCome: true});
+});
