soak: play leaves, evacuations around restarts, and refusals that are sent twice

New checks: no request that was sent more than 2 s after an acknowledged leave reaches the server (nodes in touch), and no two servers hold the same keys for more than 0.5 s.

--- a/tools/soak/src/ledger.ts
+++ b/tools/soak/src/ledger.ts
@@ -2,7 +2,9 @@
 import {keyCount, type HeldKeys, type HeldRange} from '@buckthornpoint/fleet-stand-in/held-keys.js';
 import type {Clock} from '@buckthornpoint/clock/clock.js';
 import type {Disruptions} from './disruptions.js';
+import {checkDrain} from './check-drain.js';
 import {checkRequest} from './check-request.js';
+import {SharedHolds} from './shared-holds.js';
 import type {
 	RecordedRun, RequestEnd, RequestRecord, SentRequest, Violation,
 } from './requests.js';
@@ -26,6 +28,9 @@
 	/** For each key and pair of overlapping holds: the servers that started a run during the overlap. */
 	readonly #overlaps = new Map<string, Set<string>>();
 	readonly #violations: Violation[] = [];
+	/** When the announcement of each leaving backend server was acknowledged. */
+	readonly #leftAtMs = new Map<string, number>();
+	readonly #sharedHolds = new SharedHolds();
 
 	constructor(clock: Clock) {
 		super();
@@ -48,6 +53,16 @@
 		this.#violations.push(violation);
 	}
 
+	/** Records that the announcement of a backend server to leave was acknowledged. */
+	recordLeave(backendId: string, atMs: number): void {
+		this.#leftAtMs.set(backendId, atMs);
+	}
+
+	/** Checks which backend servers hold the same keys now. To be called often. */
+	checkSharedHolds(): void {
+		this.#sharedHolds.record([...this.#backends.values()], this.#clock.readTimestamp().monotonicMs);
+	}
+
 	/** Lists the requests that were started at or after a point in time. */
 	listSince(fromMs: number): readonly RequestRecord[] {
 		return [...this.#records.values()].filter(({request}) => request.startMs >= fromMs);
@@ -60,7 +75,12 @@
 
 	/** Lists all violated guarantees. Call it after the last request ended. */
 	listViolations(disruptions: readonly Disruptions[]): readonly Violation[] {
-		return [...this.#violations, ...[...this.#records.values()].flatMap(record => checkRequest(record, disruptions))]
+		const records = [...this.#records.values()];
+		return [
+			...this.#violations,
+			...this.#sharedHolds.listViolations(disruptions),
+			...records.flatMap(record => [...checkRequest(record, disruptions), ...checkDrain(record, this.#leftAtMs, disruptions)]),
+		]
 			.toSorted((a, b) => a.atMs - b.atMs);
 	}
 
--- a/tools/soak/src/main.ts
+++ b/tools/soak/src/main.ts
@@ -8,7 +8,7 @@
 import type {Mix} from './schedule.js';
 
 const msPerSecond = 1000;
-const mixes: readonly Mix[] = ['planned', 'planned-and-store', 'all', 'returns'];
+const mixes: readonly Mix[] = ['planned', 'planned-and-store', 'all', 'returns', 'restarts'];
 
 /** Loopback networks 127.1 to 127.254; the process id selects one, so that concurrent soak tests rarely share one. */
 const networks = 254;
--- a/tools/soak/src/requests.ts
+++ b/tools/soak/src/requests.ts
@@ -47,12 +47,13 @@
  * - `lost`: the connection of a completely sent request ended without an answer, or the node itself answered 502 or 504.
  * - `late`: the answer came too long after the time limit, or not at all.
  * - `owner`: two backend servers used a key at the same time.
+ * - `drain`: a request that was sent too long after a backend server's announcement to leave was acknowledged reached that server.
  * - `fence`: a backend server acquired a key with a fence that is not higher than that of another server.
  * - `process-end`: the process of a node crashed, or did not stop as planned.
  * - `not-served`: the fleet was not available again in time after the faults.
  */
 export type Violation = {
-	readonly rule: 'twice' | 'refused-but-run' | 'wrong-answer' | 'changed-request' | 'lost' | 'late' | 'owner' | 'fence' | 'process-end' | 'not-served';
+	readonly rule: 'twice' | 'refused-but-run' | 'wrong-answer' | 'changed-request' | 'lost' | 'late' | 'owner' | 'drain' | 'fence' | 'process-end' | 'not-served';
 	readonly atMs: number;
 	readonly message: string;
 	readonly requestId?: string;
--- a/tools/soak/src/run-schedule.ts
+++ b/tools/soak/src/run-schedule.ts
@@ -76,6 +76,18 @@
 			return;
 		}
 
+		case 'leave': {
+			return fleet.replaceBackend(fault);
+		}
+
+		case 'evacuate': {
+			return fleet.runEvacuation(fault.node, fault.forMs);
+		}
+
+		case 'copies': {
+			return fleet.runRepeatedRefusals(fault.node, fault.refusals, fault.forMs);
+		}
+
 		case 'link': {
 			const disruption = disruptions.open('store', clock.readTimestamp().monotonicMs);
 			onEvent(`link of vm-${fault.node}: ${JSON.stringify(fault.condition)}`);
--- a/tools/soak/src/soak-fleet.ts
+++ b/tools/soak/src/soak-fleet.ts
@@ -1,8 +1,9 @@
 import {mkdirSync, writeFileSync} from 'node:fs';
 import {join} from 'node:path';
-import type {Clock} from '@buckthornpoint/clock/clock.js';
+import type {Clock, Timer} from '@buckthornpoint/clock/clock.js';
 import {StandInBackend} from '@buckthornpoint/fleet-stand-in/stand-in-backend.js';
-import {configurationRowKey} from '@buckthornpoint/fleet-stand-in/stand-in-configuration.js';
+import {configurationRowKey, getEvacuationRowKey} from '@buckthornpoint/fleet-stand-in/stand-in-configuration.js';
+import type {RepeatedRefusals} from '@buckthornpoint/fleet-stand-in/stand-in-executor.js';
 import {StandInStore} from '@buckthornpoint/fleet-stand-in/stand-in-store.js';
 import type {MeshSettings} from '@buckthornpoint/mesh-daemon/settings.js';
 import {Caller} from './caller.js';
@@ -10,6 +11,7 @@
 import type {Disruptions} from './disruptions.js';
 import {FaultyProxy} from './faulty-proxy.js';
 import type {Ledger} from './ledger.js';
+import type {Fault} from './schedule.js';
 import {SoakNode} from './soak-node.js';
 import {createAnswerBody, encodeSoakConfiguration, services} from './workload.js';
 
@@ -51,6 +53,10 @@
 	drainSeconds: 2, evacuationSeconds: 5, graceSeconds: 6, maxHoldSeconds: 10, retryRatio: 0.2, retrySlack: 56,
 } as const;
 const msPerSecond = 1000;
+const holdCheckIntervalMs = 50;
+
+/** Time between the end of a backend server and the start of the next one at its address. */
+const restartDelayMs = 200;
 
 /** A fleet on loopback: the store, and on each VM a node process, a backend server, callers and a link to the store. */
 export class SoakFleet {
@@ -59,7 +65,10 @@
 	/** The link between each node and the store. */
 	readonly links: readonly FaultyProxy[];
 	readonly #opts: SoakFleetOpts;
-	readonly #backends: readonly StandInBackend[];
+	readonly #backends: StandInBackend[];
+	readonly #leavingNodes = new Set<number>();
+	#backendCount = 0;
+	#timer: Timer | undefined;
 	readonly #callers: readonly Caller[];
 	#configurationVersion = 0;
 
@@ -82,6 +91,66 @@
 		for (const caller of this.#callers) {
 			caller.start();
 		}
+
+		this.#checkHolds();
+	}
+
+	/** Lets the backend server of a node leave, with the faults of `leave`, and starts a new instance in its place. */
+	async replaceBackend({node, announcement, killAfterMs, downMs, lateMs, serveMs}: Extract<Fault, {readonly kind: 'leave'}>): Promise<void> {
+		const {clock, ledger, onEvent} = this.#opts;
+		if (this.#leavingNodes.has(node)) {
+			return;
+		}
+
+		this.#leavingNodes.add(node);
+		const backend = this.#backends[node]!;
+		const delayed = backend.createHeartbeat();
+		const isAcknowledged = await backend.announceLeave(announcement);
+		onEvent(`${backend.id}: ${announcement}, ${isAcknowledged ? 'acknowledged' : 'not acknowledged'}`);
+		if (isAcknowledged) {
+			ledger.recordLeave(backend.id, this.#readNowMs());
+		}
+
+		const runKill = async (): Promise<void> => {
+			if (killAfterMs !== undefined && isAcknowledged) {
+				await clock.sleep(killAfterMs);
+				await this.nodes[node]!.stopImmediately(downMs);
+			}
+		};
+
+		const sendDelayed = async (): Promise<void> => {
+			await clock.sleep(lateMs);
+			await backend.sendDelayed(delayed);
+		};
+
+		await Promise.all([runKill(), sendDelayed(), clock.sleep(serveMs)]);
+		onEvent(`${backend.id}: exits`);
+		backend.close();
+		// Connections to the port are closed asynchronously.
+		await clock.sleep(restartDelayMs);
+		this.#backends[node] = this.#createBackend(node);
+		await this.#backends[node].start();
+		this.#leavingNodes.delete(node);
+	}
+
+	/** Evacuates the failure domain of a node for a time. */
+	async runEvacuation(node: number, forMs: number): Promise<void> {
+		const domain = this.#getDomain(node);
+		this.#opts.onEvent(`operator: evacuates ${domain}`);
+		this.store.writeOperatorRow(getEvacuationRowKey(domain), '{}');
+		await this.#opts.clock.sleep(forMs);
+		this.#opts.onEvent(`operator: takes ${domain} back`);
+		this.store.removeOperatorRow(getEvacuationRowKey(domain));
+	}
+
+	/** Lets the backend server of a node refuse requests and repeat the refusals for a time. */
+	async runRepeatedRefusals(node: number, refusals: RepeatedRefusals, forMs: number): Promise<void> {
+		const backend = this.#backends[node]!;
+		this.#opts.onEvent(`${backend.id}: ${JSON.stringify(refusals)}`);
+		backend.setRepeatedRefusals(refusals);
+		await this.#opts.clock.sleep(forMs);
+		backend.setRepeatedRefusals(undefined);
+		this.#opts.onEvent(`${backend.id}: refuses no more`);
 	}
 
 	/** Writes the next version of the configuration. */
@@ -96,12 +165,24 @@
 	}
 
 	async close(): Promise<void> {
+		this.#timer?.close();
 		await Promise.all(this.nodes.map(async node => node.close()));
 		for (const part of [...this.#backends, ...this.links, this.store]) {
 			part.close();
 		}
 	}
 
+	#checkHolds(): void {
+		this.#opts.ledger.checkSharedHolds();
+		this.#timer = this.#opts.clock.startTimer(holdCheckIntervalMs, () => {
+			this.#checkHolds();
+		});
+	}
+
+	#readNowMs(): number {
+		return this.#opts.clock.readTimestamp().monotonicMs;
+	}
+
 	#createNode(number: number): SoakNode {
 		const {clock, folder, disruptions, slowness, ledger, onEvent} = this.#opts;
 		const vmId = `vm-${number}`;
@@ -148,9 +229,12 @@
 	#createBackend(number: number): StandInBackend {
 		// The factor 1000 gives each backend server and caller of a fleet its own seed.
 		const random = createRandom((this.#opts.seed * msPerSecond) + number);
+		const count = this.#backendCount++;
 		const service = this.#getService(number);
 		const backend = new StandInBackend(this.#opts.clock, this.#opts.ledger, {
-			id: `server-${number}`,
+			// The first instances have the number of their node.
+			id: count < this.#opts.nodes ? `server-${number}` : `server-${number}-${count}`,
+			random,
 			service: service.name,
 			isDivided: service.isDivided,
 			host: this.#getHost(number),
--- a/tools/soak/test/schedule.test.ts
+++ b/tools/soak/test/schedule.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import test from 'node:test';
 import {createRandom} from '../src/create-random.js';
-import {generateSchedule} from '../src/schedule.js';
+import {generateSchedule, type Mix} from '../src/schedule.js';
 
 const opts = {durationMs: 20_000, nodes: 4};
 
@@ -12,13 +12,14 @@
 });
 
 test('each mix generates exactly its kinds of faults', () => {
-	const listKinds = (mix: 'planned' | 'planned-and-store' | 'all'): readonly string[] => {
+	const listKinds = (mix: Mix): readonly string[] => {
 		const faults = Array.from({length: 30}, (_, seed) => generateSchedule(createRandom(seed), {...opts, mix})).flat();
 		return [...new Set(faults.map(({kind}) => kind))].toSorted();
 	};
 
 	assert.deepEqual(listKinds('planned'), ['change', 'reload', 'stop']);
 	assert.deepEqual(listKinds('planned-and-store'), ['change', 'link', 'reload', 'stop', 'store']);
+	assert.deepEqual(listKinds('restarts'), ['copies', 'evacuate', 'kill', 'leave', 'link', 'pause', 'stop']);
 	assert.deepEqual(listKinds('all'), ['change', 'kill', 'link', 'pause', 'reload', 'stop', 'store']);
 });
 
