fix: give no new owners to a service whose range map cannot be read

A controller that took over and could not decode the row of a range map logged the problem and went on as if the service had no map: it wrote a first map, with the lowest fences, over owners that still held their keys.

Cause: "could not be read" was taken as "there is none".

Change: the takeover names the services whose map is unreadable, and the controller plans no first map for them. The log line says that the service gets no new owners until the row can be read.

Measured: the test in range-controller.test.ts fails without the check (a map is planned) and passes with it.

--- a/core/key-ranges/src/controller-start.ts
+++ b/core/key-ranges/src/controller-start.ts
@@ -26,6 +26,8 @@
 export type ControllerStart = EarlierLeases & Omit<InheritedState, 'maps'> & {
 	readonly epoch: number;
 	readonly maps: readonly RangeMap[];
+	/** Services that have owners which this controller does not know, since their maps could not be read. */
+	readonly unreadableServices?: ReadonlySet<string>;
 	/** The present era of the store. */
 	readonly era?: number;
 	/** Set if the store returned from an older copy since the maps were written: they may be older than what their owners hold. */
--- a/core/key-ranges/src/range-controller.ts
+++ b/core/key-ranges/src/range-controller.ts
@@ -36,6 +36,7 @@
 	readonly #mapUpdates = new MapUpdates();
 	readonly #assignments: Assignments;
 	readonly #startMs: number;
+	readonly #unreadableServices: ReadonlySet<string>;
 	#era: number;
 	#recovery: EraRecovery | undefined;
 	readonly #moves = new MovesInProgress();
@@ -47,6 +48,7 @@
 		this.#vms = new VmTable(start);
 		this.#leases = new LeaseTable(start, opts.leaseMs);
 		this.#startMs = start.startMs;
+		this.#unreadableServices = start.unreadableServices ?? new Set();
 		this.#era = start.era ?? 0;
 		this.#recovery = start.recovery === undefined ? undefined : new EraRecovery({...start.recovery, startMs: start.startMs, era: this.#era}, start.maps);
 		for (const map of start.maps) {
@@ -211,7 +213,7 @@
 
 	#planFirstMap(service: string, rules: OwnershipRules, nowMs: number): readonly RangeMap[] {
 		const firstHeartbeatMs = this.#firstHeartbeatMs.get(service);
-		if (firstHeartbeatMs === undefined || nowMs < firstHeartbeatMs + this.#opts.startGatheringMs) {
+		if (firstHeartbeatMs === undefined || this.#unreadableServices.has(service) || nowMs < firstHeartbeatMs + this.#opts.startGatheringMs) {
 			return [];
 		}
 
--- a/core/key-ranges/test/range-controller.test.ts
+++ b/core/key-ranges/test/range-controller.test.ts
@@ -177,3 +177,13 @@
 	assert.equal(complete.directory?.length, 1);
 	assert.equal(sendHeartbeat(complete.directoryVersion, 1100).directory, undefined);
 });
+
+test('a service whose map can\'t be read is not given to new owners, as if it had none', () => {
+	for (const [unreadableServices, count] of [[new Set(['s']), 0], [new Set(['other']), 1]] as const) {
+		const controller = new RangeController({
+			epoch: 2, maps: [], startMs: 0, earlierLeasesEndMs: 0, unreadableServices,
+		}, times);
+		controller.handleHeartbeat(createHeartbeat('a'), 0, unlimitedMs);
+		assert.equal(controller.planMaps(rules, 1000).length, count);
+	}
+});
--- a/node/cell-link/src/cell-snapshot.ts
+++ b/node/cell-link/src/cell-snapshot.ts
@@ -4,7 +4,7 @@
 import type {RangeMap} from '@buckthornpoint/key-ranges/range-map.js';
 import {decodeRangeMap, encodeRangeMap} from '@buckthornpoint/key-ranges/range-map-record.js';
 import {
-	cellTable, controllerKey, decodeControllerRecord, getEraKey, getMapKey, isEraKey, isMapKey, type ControllerRecord,
+	cellTable, controllerKey, decodeControllerRecord, getEraKey, getMapKey, isEraKey, isMapKey, parseMapKey, type ControllerRecord,
 } from './controller-record.js';
 import {decodeLeaveRecords, type LeaveRecord} from './leave-record.js';
 
@@ -67,11 +67,22 @@
 	};
 }
 
-/** Decodes the rows of range maps. Returns one problem for each row that is invalid. */
-export function decodeMaps(rows: readonly StoredRow[]): {readonly maps: readonly RangeMap[]; readonly problems: readonly string[]} {
-	const decoded = rows.map(({key, value}) => decodeRangeMap(value ?? '').mapErr(problem => `${key}: ${problem}`));
+/** The range maps among the rows of a cell. */
+export type DecodedMaps = {
+	readonly maps: readonly RangeMap[];
+	/** One problem for each row that is invalid. */
+	readonly problems: readonly string[];
+	/** Services whose map can't be read: they have owners that are not known. */
+	readonly unreadableServices: ReadonlySet<string>;
+};
+
+/** Decodes the rows of range maps. */
+export function decodeMaps(rows: readonly StoredRow[]): DecodedMaps {
+	const decoded = rows.map(({key, value}) => ({key, result: decodeRangeMap(value ?? '')}));
+	const invalid = decoded.flatMap(({key, result}) => result.isErr() ? [{key, problem: result.error}] : []);
 	return {
-		maps: decoded.flatMap(result => result.isOk() ? [result.value] : []),
-		problems: decoded.flatMap(result => result.isErr() ? [result.error] : []),
+		maps: decoded.flatMap(({result}) => result.isOk() ? [result.value] : []),
+		problems: invalid.map(({key, problem}) => `${key}: ${problem}; its service gets no new owners until the row can be read`),
+		unreadableServices: new Set(invalid.map(({key}) => parseMapKey(key))),
 	};
 }
--- a/node/cell-link/src/controller-lease-types.ts
+++ b/node/cell-link/src/controller-lease-types.ts
@@ -1,5 +1,6 @@
 import type {FleetStore} from '@buckthornpoint/fleet/fleet-store.js';
 import type {RangeMap} from '@buckthornpoint/key-ranges/range-map.js';
+import type {DecodedMaps} from './cell-snapshot.js';
 import type {ControllerRecord} from './controller-record.js';
 import type {LeaveRecord} from './leave-record.js';
 
@@ -25,14 +26,11 @@
 };
 
 /** State found in the store when this node took over as controller. */
-export type Takeover = {
+export type Takeover = DecodedMaps & {
 	readonly record: ControllerRecord;
 	readonly previousRecord: ControllerRecord | undefined;
-	readonly maps: readonly RangeMap[];
 	/** Whether the store returned from an older copy since the maps were known to agree with what their owners hold. */
 	readonly isAfterReturn: boolean;
-	/** Decoding errors of stored range maps. */
-	readonly problems: readonly string[];
 	/** Upper bound on the remaining time of leases granted by any earlier controller. */
 	readonly earlierLeasesMs: number;
 	/** The same bound for the controllers before the previous one. */
--- a/node/cell-link/src/controller-record.ts
+++ b/node/cell-link/src/controller-record.ts
@@ -60,6 +60,11 @@
 	return `${mapPrefix}${service}`;
 }
 
+/** Returns the service whose range map a row stores. */
+export function parseMapKey(key: string): string {
+	return key.slice(mapPrefix.length);
+}
+
 /** Returns whether a row stores the range map of a service. */
 export function isMapKey(key: string): boolean {
 	return key.startsWith(mapPrefix);
--- a/node/cell-link/src/create-range-controller.ts
+++ b/node/cell-link/src/create-range-controller.ts
@@ -11,7 +11,7 @@
  */
 export function createRangeController(
 	{
-		record, previousRecord, maps, isAfterReturn, earlierLeasesMs, inheritedLeasesMs, leaves,
+		record, previousRecord, maps, isAfterReturn, earlierLeasesMs, inheritedLeasesMs, leaves, unreadableServices,
 	}: Takeover,
 	{initialState, startMs, times}: {readonly initialState: InheritedState; readonly startMs: number; readonly times: RangeControllerOpts},
 ): RangeController {
@@ -33,6 +33,7 @@
 		startMs,
 		...inherited,
 		leavingInstances,
+		unreadableServices,
 		earlierLeasesEndMs: startMs + earlierLeasesMs,
 		predecessors: {vmIds: knownVms, inheritedLeasesEndMs: startMs + inheritedLeasesMs},
 		...(isAfterReturn && {recovery: {knownVms}}),
