fix: remove at most 50 obsolete rows of the cell in one write

The store accepts at most 100 entries in a transaction. Leave records expire an hour after they were written, and a takeover after the replacement of many servers would have named all of them in one write, which the store refuses; the controller could then not renew its lease.

--- a/node/cell-link/src/cell-snapshot.ts
+++ b/node/cell-link/src/cell-snapshot.ts
@@ -8,6 +8,9 @@
 } from './controller-record.js';
 import {decodeLeaveRecords, type LeaveRecord} from './leave-record.js';
 
+/** Number of obsolete rows that one write removes; the store accepts at most 100 entries in a transaction. */
+export const maxRemovalsPerWrite = 50;
+
 /** The decoded rows of a cell. */
 export type CellSnapshot = {
 	readonly era: StoreEra;
@@ -63,7 +66,7 @@
 			...mustMarkEra ? [{...eraRow, value: '{}'}] : [],
 			...maps.map(map => ({table: cellTable, key: getMapKey(map.service), value: JSON.stringify(encodeRangeMap(map))})),
 		],
-		removals: obsoleteRows.map(({key}) => ({table: cellTable, key})),
+		removals: obsoleteRows.slice(0, maxRemovalsPerWrite).map(({key}) => ({table: cellTable, key})),
 	};
 }
 
--- a/node/cell-link/src/controller-lease.ts
+++ b/node/cell-link/src/controller-lease.ts
@@ -4,7 +4,7 @@
 import type {StoreFailure} from '@buckthornpoint/table-store/table-store.js';
 import {err, ok, type Result} from 'neverthrow';
 import {
-	createCellTransaction, decodeCell, decodeMaps, type CellSnapshot, type CellVersions,
+	createCellTransaction, decodeCell, decodeMaps, maxRemovalsPerWrite, type CellSnapshot, type CellVersions,
 } from './cell-snapshot.js';
 import type {
 	ControllerLeaseOpts, ControllerSearchResult, ReadBackResult, Renewal,
@@ -276,7 +276,7 @@
 				era,
 				rowVersion: version,
 				eraRowVersion: base.eraRowVersion === 0 ? version : base.eraRowVersion,
-				obsoleteRows: [],
+				obsoleteRows: base.obsoleteRows.slice(maxRemovalsPerWrite),
 				mapVersions: new Map([...base.mapVersions, ...maps.map(({service}) => [getMapKey(service), version] as const)]),
 				maxStoreTimeMs: writtenMs,
 				storeTimeSampledAtMs: nowMs,
--- a/node/cell-link/test/control-task.test.ts
+++ b/node/cell-link/test/control-task.test.ts
@@ -10,6 +10,7 @@
 import {
 	cellTable, controllerKey, decodeControllerRecord, type ControllerRecord,
 } from '../src/controller-record.js';
+import {encodeLeaveRecord, isLeaveKey} from '../src/leave-record.js';
 import {SimulatedStore} from './simulated-store.js';
 import {simulatedOperatorState} from './simulated-operator.js';
 import {simulatedTimes} from './simulated-fleet.js';
@@ -150,3 +151,32 @@
 	assert.ok(events.some(({kind}) => kind === 'moves-planned'));
 	task.close();
 });
+
+test('obsolete leave records are removed in several writes, since the store limits the entries of one, and recent ones are kept', async () => {
+	const {task, store, clock} = openTask();
+	const client = store.createClient('vm-1');
+	const {wallMs} = clock.readTimestamp();
+	const records = [...Array.from({length: 120}, (_, index) => ({
+		vmId: 'a', id: `i-${index}`, bornMs: 1, leftAtMs: wallMs - 3_600_000,
+	})), {
+		vmId: 'a', id: 'recent', bornMs: 1, leftAtMs: wallMs,
+	}];
+	for (const record of records) {
+		const written = client.commit({conditions: [], writes: [encodeLeaveRecord(record)]});
+		clock.advance(10);
+		await written;
+	}
+
+	const search = task.findController();
+	await run(clock, 100);
+	await search;
+	await run(clock, 5000);
+	const rows = await new Promise<readonly string[]>(resolve => {
+		store.read('vm-2', cellTable, read => {
+			resolve(read._unsafeUnwrap().rows.filter(({key}) => isLeaveKey(key)).map(({key}) => key));
+		});
+		clock.advance(10);
+	});
+	assert.deepEqual(rows, [encodeLeaveRecord(records.at(-1)!).key]);
+	task.close();
+});
