--- a/node/mesh-daemon/src/leave-recorder.ts
+++ b/node/mesh-daemon/src/leave-recorder.ts
@@ -81,7 +81,7 @@
 	}
 
 	/** Writes the announcements again: the store returned from a copy that may lack them. */
-	restore(): void {
+	writeAgain(): void {
 		for (const [key, announcement] of this.#announcements) {
 			if (announcement.isStored) {
 				announcement.isStored = false;
--- a/node/mesh-daemon/src/mesh-node.ts
+++ b/node/mesh-daemon/src/mesh-node.ts
@@ -87,7 +87,7 @@
 		this.#timeouts = deriveTimeouts(settings);
 		this.#store = createStore(settings.store, opts.log, () => {
 			this.#routes.refresh();
-			this.#leaves.restore();
+			this.#leaves.writeAgain();
 		});
 		this.#leaves = new LeaveRecorder({
 			...opts, vmId: settings.vmId, store: this.#store, isLeading: () => this.#control.isLeading,
--- a/node/mesh-daemon/test/leave-recorder.test.ts
+++ b/node/mesh-daemon/test/leave-recorder.test.ts
@@ -38,7 +38,7 @@
 }
 
 /** Advances the clock until the call has ended. Returns its result, and how long it took. */
-async function finish(call: Promise<boolean>, clock: ManualClock): Promise<readonly [isRecorded: boolean, tookMs: number]> {
+async function waitForResult(call: Promise<boolean>, clock: ManualClock): Promise<readonly [isRecorded: boolean, tookMs: number]> {
 	let result: boolean | undefined;
 	void call.then(value => {
 		result = value;
@@ -57,7 +57,7 @@
 
 test('an announcement is in the store before it is acknowledged, so that a process started after a kill finds it', async () => {
 	const {recorder, clock, written} = createRecorder({isLeading: true});
-	assert.deepEqual(await finish(recorder.record(leave), clock), [true, 0]);
+	assert.deepEqual(await waitForResult(recorder.record(leave), clock), [true, 0]);
 	const rows = written.flatMap(({writes}) => writes.map(row => ({...row, version: 1})));
 	assert.deepEqual(decodeLeaveRecords(rows, leave.leftAtMs).records, [{vmId: 'vm-1', ...leave}]);
 	assert.deepEqual(decodeLeaveRecords(rows, leave.leftAtMs + 3_600_000), {records: [], obsolete: rows});
@@ -66,7 +66,7 @@
 test('repeated announcements of an instance are written once', async () => {
 	const {recorder, clock, written} = createRecorder({isLeading: true});
 	for (let heartbeat = 0; heartbeat < 5; heartbeat++) {
-		const [isRecorded] = await finish(recorder.record(leave), clock);
+		const [isRecorded] = await waitForResult(recorder.record(leave), clock);
 		assert.equal(isRecorded, true);
 	}
 
@@ -75,23 +75,23 @@
 
 test('while the store is down, an announcement is acknowledged once the controller on another VM lists it, and not before', async () => {
 	const {recorder, clock, written, store} = createRecorder({isDown: true});
-	const [isRecorded, tookMs] = await finish(recorder.record(leave), clock);
+	const [isRecorded, tookMs] = await waitForResult(recorder.record(leave), clock);
 	assert.equal(isRecorded, false);
 	assert.ok(tookMs < 1000, 'the server waits a second for the answer');
 	const repeated = recorder.record(leave);
 	recorder.recordConfirmed([key]);
-	const [isRepetitionRecorded] = await finish(repeated, clock);
+	const [isRepetitionRecorded] = await waitForResult(repeated, clock);
 	assert.equal(isRepetitionRecorded, true);
 	assert.equal(written.length, 0);
 	store.isDown = false;
-	await finish(clock.sleep(1500).then(() => true), clock);
+	await waitForResult(clock.sleep(1500).then(() => true), clock);
 	assert.equal(written.length, 1, 'the store gets it when it is back');
 });
 
 test('an announcement is written again when the store returns from a copy that may lack it', async () => {
 	const {recorder, clock, written} = createRecorder({isLeading: true});
-	await finish(recorder.record(leave), clock);
-	recorder.restore();
+	await waitForResult(recorder.record(leave), clock);
+	recorder.writeAgain();
 	await setImmediate();
 	assert.equal(written.length, 2);
 });
