fix: let other nodes use a restarted node's server at once while the store is unavailable

Cause: a node that starts believes no heartbeat of its server until it has asked the store for announcements, and if the store fails, until the controller replies. It can't find the controller without the store, so its server stayed unused although the other nodes' directories listed it.

Change: the gate waits for that list 300 ms at most, and not at all once the lookup has failed. Requests of other nodes are accepted then: they know from the directory whether the server leaves. The report to the controller still waits for the list or for the controller's reply.

Measured: the test in backend-watch.test.ts fails without the change ("no-backend") and passes.

--- a/node/mesh-daemon/src/backend-watch.ts
+++ b/node/mesh-daemon/src/backend-watch.ts
@@ -1,34 +1,18 @@
 import type {BackendGate} from '@buckthornpoint/backend-link/backend-gate.js';
-import {
-	BackendRegistration, type Leave, type RegisteredBackend, type RegistrationResult,
-} from '@buckthornpoint/backend-link/backend-registration.js';
-import type {Clock} from '@buckthornpoint/clock/clock.js';
-import type {LeaseClock} from '@buckthornpoint/clock/lease-clock.js';
+import {BackendRegistration, type Leave, type RegistrationResult} from '@buckthornpoint/backend-link/backend-registration.js';
 import type {BackendHeartbeat} from '@buckthornpoint/fleet/announcements.js';
-import type {FleetView} from '@buckthornpoint/ingress/fleet-view.js';
 import {maxInstancesPerVm} from '@buckthornpoint/key-ranges/leaving-instances.js';
 import type {BackendReport, HeartbeatReply} from '@buckthornpoint/key-ranges/messages.js';
 import type {BackendInstanceKey} from '@buckthornpoint/key-ranges/key-ranges.js';
 import {RangeMember, type BackendHoldings, type Grant} from '@buckthornpoint/key-ranges/range-member.js';
-import type {Log} from '@buckthornpoint/log/log.js';
-import type {MeshSettings} from './settings.js';
-import type {MeshTimeouts} from './timeouts.js';
-
-/** Dependencies and settings of a `BackendWatch`. */
-export type BackendWatchOpts = {
-	readonly settings: MeshSettings;
-	readonly timeouts: MeshTimeouts;
-	readonly clock: Clock;
-	readonly leaseClock: LeaseClock;
-	readonly view: FleetView;
-	readonly log: Log;
-	/** Called after a change that must be reported to the controller immediately. */
-	readonly onChange: () => void;
-};
+import type {BackendWatchOpts} from './backend-watch-opts.js';
 
 /** Demand, as a share of what the server can serve, below which the load of a server's ranges is not reported: its keys are then not moved because of load. */
 const minReportedDemand = 0.3;
 
+/** How long a node that starts waits for the store's list of announcements. The store usually answers within 10 ms. */
+const leaveLookupTimeoutMs = 300;
+
 /** Tracks the state of the local backend server from its announcements, grants key ranges to it, and passes its state on to the gate. */
 export class BackendWatch {
 	readonly member: RangeMember;
@@ -36,15 +20,16 @@
 	readonly #registration: BackendRegistration;
 	#gate: BackendGate | undefined;
 	#evacuatedSinceMs: number | undefined;
-	/** Whether the node knows which instances of the server announced to an earlier node process that they leave. Until then none counts as ready. */
+	/** Whether the node knows which instances of the server announced to an earlier node process that they leave. Until then none is reported to the controller. */
 	#areLeavesKnown = false;
-	/** Whether the store could not be asked for the announcements, so that the controller's reply has to do. */
-	#isStoreUnavailable = false;
+	/** From this time on the store counts as unavailable if it has not been asked for the announcements. */
+	#leaveLookupEndMs: number;
 	/** Whether the evacuation orders were known at the last refresh. */
 	#hadOrders = false;
 
 	constructor(opts: BackendWatchOpts) {
 		this.#opts = opts;
+		this.#leaveLookupEndMs = this.#readNowMs() + leaveLookupTimeoutMs;
 		this.member = new RangeMember({grantMs: opts.timeouts.holdMs}, opts.leaseClock.readNowMs());
 		this.#registration = new BackendRegistration({
 			address: opts.settings.backendServer,
@@ -137,7 +122,8 @@
 	/** Applies the announcements that the store has from earlier node processes; undefined if the store could not be asked. */
 	recordLeaves(leaves: readonly Leave[] | undefined): void {
 		if (leaves === undefined) {
-			this.#isStoreUnavailable = true;
+			this.#leaveLookupEndMs = Math.min(this.#leaveLookupEndMs, this.#readNowMs());
+			this.refresh();
 			return;
 		}
 
@@ -151,7 +137,7 @@
 	/** Applies the controller's reply to a heartbeat that was sent at `sentMs` and reported `backend`. Returns whether the assigned ranges changed. */
 	applyReply(reply: HeartbeatReply, sentMs: number, backend: BackendInstanceKey | undefined): boolean {
 		this.#applyLeaving(reply.left ?? [], {sinceMs: Number.NEGATIVE_INFINITY, reason: 'the server deregistered at an earlier node process'});
-		if (this.#isStoreUnavailable) {
+		if (this.#isLeaveLookupOver()) {
 			this.#setLeavesKnown();
 		}
 
@@ -180,7 +166,8 @@
 	refresh(): void {
 		const nowMs = this.#readNowMs();
 		this.#updateEvacuation(nowMs);
-		const current = this.#getCurrent();
+		// While the store is unavailable, requests of other nodes are accepted: these know from the directory whether the server leaves.
+		const current = this.#areLeavesKnown || this.#isLeaveLookupOver() ? this.#registration.current : undefined;
 		if (current === undefined) {
 			this.#gate?.setBackend(undefined);
 			return;
@@ -201,7 +188,7 @@
 
 	/** Creates the report on the server for a heartbeat to the controller. */
 	createReport(): BackendReport | undefined {
-		const current = this.#getCurrent();
+		const current = this.#areLeavesKnown ? this.#registration.current : undefined;
 		if (current === undefined) {
 			return undefined;
 		}
@@ -237,8 +224,8 @@
 		return this.#registration.listLeaving().slice(-maxInstancesPerVm);
 	}
 
-	#getCurrent(): RegisteredBackend | undefined {
-		return this.#areLeavesKnown ? this.#registration.current : undefined;
+	#isLeaveLookupOver(): boolean {
+		return this.#readNowMs() >= this.#leaveLookupEndMs;
 	}
 
 	#setLeavesKnown(): void {
--- a/node/mesh-daemon/test/backend-watch.test.ts
+++ b/node/mesh-daemon/test/backend-watch.test.ts
@@ -2,6 +2,7 @@
 import test from 'node:test';
 import {LeaseClock} from '@buckthornpoint/clock/lease-clock.js';
 import {ManualClock} from '@buckthornpoint/clock/manual-clock.js';
+import type {BackendGate} from '@buckthornpoint/backend-link/backend-gate.js';
 import type {Outcome} from '@buckthornpoint/backend-link/outcome.js';
 import type {BackendHeartbeat} from '@buckthornpoint/fleet/announcements.js';
 import {FleetView} from '@buckthornpoint/ingress/fleet-view.js';
@@ -65,6 +66,18 @@
 	epoch: 1, leaseMs: 5000, assignmentVersion: '1.2', assignment: [], directoryVersion: '', isDirectoryComplete: false, isStoreReached: true,
 };
 
+/** Passes a request to the gate. Returns why it was refused; undefined if it is sent. */
+function admit(gate: BackendGate): string | undefined {
+	let outcome: Outcome | undefined;
+	gate.admit({
+		requestId: 'x', method: 'GET', path: '/', headers: [], body: new Uint8Array(), key: undefined, service, route: 'r', callerService: 'c', priority: 1, isIdempotent: true,
+		mayWait: true, remainingMs: 1000, targetMs: 200, lateMs: 200,
+	}, result => {
+		outcome = result;
+	});
+	return outcome?.kind === 'not-run' ? outcome.reason : undefined;
+}
+
 test('a restarted node without routes reports the withdrawn keys of its server as still held, not as released', () => {
 	const {watch, view} = createWatch();
 	watch.handleHeartbeat(createHeartbeat([{...allKeys, fence: 1}]));
@@ -97,14 +110,7 @@
 		watch.handleHeartbeat(createHeartbeat([]));
 		view.applyEvacuation({version: 2, era: 0, domains: ['a']});
 		watch.refresh();
-		let outcome: Outcome | undefined;
-		gate.admit({
-			requestId: 'x', method: 'GET', path: '/', headers: [], body: new Uint8Array(), key: undefined, service, route: 'r', callerService: 'c', priority: 1, isIdempotent: true,
-			mayWait: true, remainingMs: 1000, targetMs: 200, lateMs: 200,
-		}, result => {
-			outcome = result;
-		});
-		assert.equal(outcome?.kind === 'not-run' ? outcome.reason : undefined, reason);
+		assert.equal(admit(gate), reason);
 	}
 });
 
@@ -131,3 +137,28 @@
 		assert.equal(watch.createReport()?.state, state);
 	}
 });
+
+test('a restarted node lets other nodes use its server at once while the store is unavailable', t => {
+	for (const recordOutage of [
+		({watch}: ReturnType<typeof createWatch>): void => {
+			watch.recordLeaves(undefined);
+		},
+		({clock, watch}: ReturnType<typeof createWatch>): void => {
+			clock.advance(300);
+			watch.refresh();
+		},
+	]) {
+		const fixture = createWatch({isLookedUp: false});
+		const {watch, view, clock} = fixture;
+		const gate = createGate(settings, clock, watch);
+		t.after(() => {
+			gate.close();
+		});
+		view.setRoutes(createRoutes(false), '');
+		watch.handleHeartbeat(createHeartbeat([]));
+		assert.equal(admit(gate), 'no-backend');
+		recordOutage(fixture);
+		assert.equal(admit(gate), undefined);
+		assert.equal(watch.createReport(), undefined, 'the controller may know that the server leaves');
+	}
+});
