fix: answer later heartbeats of a leaving server without waiting for the records of its announcement

Cause, by reading: while the store is down an announcement is recorded by the controller alone, and every heartbeat of the leaving server waited 300 ms for the store's record again. Those heartbeats renew its keys and report its releases, which it sends every 90 ms while keys move away.

Change: once an announcement is recorded, later heartbeats of the instance are answered at once; the first one waits for the second record only until the store's write has failed.

Measured: the test in leave-recorder.test.ts waited 300 ms before and is answered at once.

--- a/node/mesh-daemon/src/leave-recorder.ts
+++ b/node/mesh-daemon/src/leave-recorder.ts
@@ -35,6 +35,7 @@
 type Announcement = {
 	readonly leave: Leave;
 	isStored: boolean;
+	hasWriteFailed: boolean;
 	/** Whether the controller, on another VM, has listed the instance as leaving. */
 	isConfirmed: boolean;
 	readonly waiters: Set<() => void>;
@@ -58,9 +59,15 @@
 		const {clock, log} = this.#opts;
 		const key = formatBackendInstanceKey(leave.id, leave.bornMs);
 		const announcement = this.#announcements.get(key) ?? this.#add(key, leave);
-		const startMs = clock.readTimestamp().monotonicMs;
-		await this.#waitUntil(announcement, () => announcement.isStored && (announcement.isConfirmed || this.#opts.isLeading()), secondRecordTimeoutMs);
 		const isRecorded = (): boolean => announcement.isStored || announcement.isConfirmed;
+		// The answers to later heartbeats renew the server's keys and must not wait again.
+		if (isRecorded()) {
+			return true;
+		}
+
+		const startMs = clock.readTimestamp().monotonicMs;
+		const isComplete = (): boolean => (announcement.isStored || announcement.hasWriteFailed) && (announcement.isConfirmed || this.#opts.isLeading());
+		await this.#waitUntil(announcement, isComplete, secondRecordTimeoutMs);
 		await this.#waitUntil(announcement, isRecorded, firstRecordTimeoutMs - (clock.readTimestamp().monotonicMs - startMs));
 		if (!isRecorded()) {
 			log.write({event: 'leave-not-recorded', key, message: 'neither the store nor the controller has the announcement; it is not acknowledged, and the server has to repeat it'});
@@ -96,7 +103,7 @@
 
 	#add(key: BackendInstanceKey, leave: Leave): Announcement {
 		const announcement: Announcement = {
-			leave, isStored: false, isConfirmed: false, waiters: new Set(),
+			leave, isStored: false, hasWriteFailed: false, isConfirmed: false, waiters: new Set(),
 		};
 		this.#announcements.set(key, announcement);
 		for (const oldest of [...this.#announcements.keys()].slice(0, -maxAnnouncements)) {
@@ -121,6 +128,8 @@
 				return;
 			}
 
+			announcement.hasWriteFailed = true;
+			notifyWaiters(announcement);
 			await clock.sleep(delayMs * (1 + random.generateFraction()), this.#closed.signal);
 		}
 	}
--- a/node/mesh-daemon/test/leave-recorder.test.ts
+++ b/node/mesh-daemon/test/leave-recorder.test.ts
@@ -95,3 +95,12 @@
 	await setImmediate();
 	assert.equal(written.length, 2);
 });
+
+test('heartbeats after an acknowledged announcement are answered at once while the store is down, so that keys are renewed and move on', async () => {
+	const {recorder, clock} = createRecorder({isDown: true});
+	const first = recorder.record(leave);
+	recorder.recordConfirmed([key]);
+	const [isRecorded] = await waitForResult(first, clock);
+	assert.equal(isRecorded, true);
+	assert.deepEqual(await waitForResult(recorder.record(leave), clock), [true, 0]);
+});
