refactor: move the reader of answers into a package of its own

The parser of HTTP/1.1 answers, its bodies and its memory limit move from node/backend-link to wire/http1, so that the other places that read answers can use them.

--- a/node/backend-link/src/backend-connection.ts
+++ b/node/backend-link/src/backend-connection.ts
@@ -4,9 +4,9 @@
 import {
 	acquireBody, BodyBlocks, releaseBody, type Body, type BodyMemory,
 } from '@buckthornpoint/frames/body-blocks.js';
-import type {AnswerMemoryLimit} from './answer-memory-limit.js';
+import type {AnswerMemoryLimit} from '@buckthornpoint/http1/answer-memory-limit.js';
+import {ResponseParser, type ParsedResponse} from '@buckthornpoint/http1/response-parser.js';
 import type {EvaluatedAnswer} from './classify-response.js';
-import {ResponseParser, type ParsedResponse} from './response-parser.js';
 
 /** The result of one request on a connection. */
 export type Exchange
--- a/node/backend-link/src/backend-pool.ts
+++ b/node/backend-link/src/backend-pool.ts
@@ -1,4 +1,4 @@
-import {AnswerMemoryLimit} from './answer-memory-limit.js';
+import {AnswerMemoryLimit} from '@buckthornpoint/http1/answer-memory-limit.js';
 import {
 	BackendConnection, type BackendConnectionOpts, type BackendRequest, type Exchange,
 } from './backend-connection.js';
--- a/node/backend-link/src/classify-response.ts
+++ b/node/backend-link/src/classify-response.ts
@@ -1,8 +1,8 @@
 import {readBackendHeaders, selectForwardedAnswerHeaders, type BackendHeaders} from '@buckthornpoint/fleet/headers.js';
 import {releaseBody} from '@buckthornpoint/frames/body-blocks.js';
+import type {ParsedResponse} from '@buckthornpoint/http1/response-parser.js';
 import type {Exchange} from './backend-connection.js';
 import {createNotRun, type Outcome} from './outcome.js';
-import type {ParsedResponse} from './response-parser.js';
 
 /** The outcome derived from an answer of the backend server, and the state that the server reports with it. */
 export type ClassifiedResponse = {
--- a/xo.config.js
+++ b/xo.config.js
@@ -18,7 +18,7 @@
 	},
 	{
 		// Code that reads from and writes to sockets uses Buffer, the type that the socket API of Node.js uses.
-		files: ['wire/frames/**/*.ts', 'node/backend-link/**/*.ts', 'node/peers/**/*.ts', 'node/ingress/**/*.ts', 'node/mesh-daemon/**/*.ts', 'stand-ins/fleet/**/*.ts'],
+		files: ['wire/frames/**/*.ts', 'wire/http1/**/*.ts', 'node/backend-link/**/*.ts', 'node/peers/**/*.ts', 'node/ingress/**/*.ts', 'node/mesh-daemon/**/*.ts', 'stand-ins/fleet/**/*.ts'],
 		rules: {
 			'@typescript-eslint/no-restricted-types': 'off',
 		},
