fix: take the end of a connection as regular only if nothing on it failed

Callers got the part of an answer that had arrived as a complete one: a server answered a long upload at once without a length, sent a part of the body and reset the connection while the upload was still written.

Cause: an answer without a length was complete on the event 'end' of its socket. Node.js emits this event also for a reset: when the reset comes in one poll with the last bytes (libuv takes the hang-up after a partial read as the end), and when a write meets the reset first, which takes the error from the socket, so that the next read returns 0. The error of the write is reported after 'end', or never if nothing is pending. Seen with real sockets, 100 connections a case: 'end' without any error in 100 of 100 where the reset comes with the last bytes, up to 3 MB of upload; 'end', then ECONNRESET of the write, at 16 MB. With 'end' comes nothing that tells the two apart; an empty write fails in each of these cases, and never after a regular end.

Change: the end is verified by an empty write behind the pending ones, on a socket that may be half open, so that a server which ends its side early and reads on is still served.

--- a/node/backend-link/src/backend-connection.ts
+++ b/node/backend-link/src/backend-connection.ts
@@ -6,6 +6,7 @@
 } from '@buckthornpoint/frames/body-blocks.js';
 import type {AnswerMemoryLimit} from '@buckthornpoint/http1/answer-memory-limit.js';
 import {ResponseParser, type ParsedResponse} from '@buckthornpoint/http1/response-parser.js';
+import {verifyEnd} from '@buckthornpoint/http1/verify-end.js';
 import type {EvaluatedAnswer} from './classify-response.js';
 
 /** The result of one request on a connection. */
@@ -79,7 +80,9 @@
 	constructor(opts: BackendConnectionOpts) {
 		this.#opts = opts;
 		this.#parser = new ResponseParser(opts.memoryLimit, opts.memory);
-		this.#socket = createConnection({host: opts.host, port: opts.port, noDelay: true});
+		this.#socket = createConnection({
+			host: opts.host, port: opts.port, noDelay: true, allowHalfOpen: true,
+		});
 		this.#socket.setTimeout(connectTimeoutMs, () => {
 			this.#fail('the backend server did not accept the connection in time');
 		});
@@ -226,6 +229,21 @@
 	}
 
 	#handleEnd(): void {
+		if (this.#pending === undefined || !this.#parser.isCompleteAtEnd) {
+			this.#fail('the backend server ended the connection');
+			return;
+		}
+
+		verifyEnd(this.#socket, error => {
+			if (error === undefined) {
+				this.#completeAtEnd();
+			} else {
+				this.#fail(`the connection failed before the end of the answer: ${error.message}`);
+			}
+		});
+	}
+
+	#completeAtEnd(): void {
 		const response = this.#pending === undefined ? undefined : this.#parser.close();
 		try {
 			if (response !== undefined && this.#handleResponse(response)) {
--- a/wire/http1/src/response-parser.ts
+++ b/wire/http1/src/response-parser.ts
@@ -61,6 +61,11 @@
 		return this.#bytes.length > 0 || this.#head !== undefined;
 	}
 
+	/** Whether the regular end of the connection would complete an answer. */
+	get isCompleteAtEnd(): boolean {
+		return this.#head !== undefined && this.#body?.isCompleteAtEnd() === true;
+	}
+
 	/** Adds bytes and returns the next answer if it is complete. Without `chunk`, only the buffered bytes are parsed. */
 	read(chunk: Buffer | undefined, method: string): ParsedResponse | undefined {
 		if (chunk !== undefined) {
@@ -83,7 +88,7 @@
 		return this.#readBody(this.#head, this.#body!);
 	}
 
-	/** Handles the end of the connection. Returns the answer that is delimited by it, if any. */
+	/** Handles the regular end of the connection, or its failure after the answer. Returns the answer that is delimited by the end, if any. */
 	close(): ParsedResponse | undefined {
 		const response = this.#head !== undefined && this.#body?.isCompleteAtEnd() === true ? this.#complete(this.#head, this.#body) : undefined;
 		this.#body?.close();
