fix: take no head for an answer's whose fields or lengths break the grammar

A server in trouble spoilt the head of its answer where it tells the length of the body, or sent a line that is no field; callers got it as a complete answer, with a body that was not the server's.

Cause: the head was split at CR LF, and each value was trimmed of all that JavaScript calls white space before it was checked. So bare CR and LF, vertical tabs, form feeds and no-break spaces at the ends of a value passed, also around a Content-Length. Of a field in two lines only the last counted, so that one of two different lengths was believed, and a body in another coding was passed on. Answers of version 1.0 with a Transfer-Encoding were read, and an invalid length passed where the status has no content. A head whose lines end with LF alone was recognised only at the caller's deadline.

Change: the head is parsed by the grammar, line by line: a token, a colon, a value between blanks and tabs alone. All lines of the fields that frame the body are read together (RFC 9112, section 6.3), also where the status has no body. An incomplete head is refused as soon as it can't become one. Legal spellings that were refused are served: the same length repeated, many zeros, empty list elements. A folded line stays refused, which RFC 9112, section 5.2 allows. Nothing changes in what callers are told: a broken answer proves nothing, also if it says that the request was not run.

Test: broken-answers.test.ts with the tables of stand-ins/answers, one row a departure or an unusual legal answer, over real connections. Field names with a blank or a control byte in the head were refused before; rows hold it.

--- /dev/null
+++ b/node/backend-link/test/broken-answers.test.ts
@@ -0,0 +1,97 @@
+// A server in trouble sends bytes that are no answer by the grammar of HTTP/1.1. Callers got some of them as complete answers, with
+// lines passed on that are no fields, or with a body that was not the server's. Each row of the tables is one departure or one
+// unusual legal answer, sent by a stand-in over a real connection.
+import assert from 'node:assert/strict';
+import test, {type TestContext} from 'node:test';
+import {departures} from '@buckthornpoint/answers/departures.js';
+import {legalAnswers} from '@buckthornpoint/answers/legal-answers.js';
+import {openRawServer, type RawAnswer} from '@buckthornpoint/answers/raw-server.js';
+import {SystemClock} from '@buckthornpoint/clock/system-clock.js';
+import {createCallerHeaders, formatAnswer, readRequestHead} from '@buckthornpoint/fleet-stand-in/stand-in-messages.js';
+import {formatBackendInstanceKey} from '@buckthornpoint/key-ranges/key-ranges.js';
+import {BackendGate} from '../src/backend-gate.js';
+import type {Outcome} from '../src/outcome.js';
+
+const remainingMs = 5000;
+
+async function openGate(t: TestContext, answer: RawAnswer): Promise<BackendGate> {
+	const server = await openRawServer(answer);
+	const gate = new BackendGate({
+		host: '127.0.0.1',
+		port: server.port,
+		clock: new SystemClock(),
+		isHeld: () => true,
+		onServerEnded: () => undefined,
+		onCold: () => undefined,
+		onLimitChange: () => undefined,
+		onLeaving: () => undefined,
+	});
+	gate.setBackend({
+		id: 'i-1', key: formatBackendInstanceKey('i-1', 1), service: 'sklad', slots: 2, isDivided: false, coldPerS: undefined,
+	});
+	t.after(() => {
+		gate.close();
+		server.close();
+	});
+	return gate;
+}
+
+async function run(gate: BackendGate, requestId: string): Promise<Outcome> {
+	return new Promise(resolve => {
+		gate.admit({
+			requestId, method: 'GET', path: '/x', headers: Object.entries(createCallerHeaders(requestId)).flat(), body: new Uint8Array(), key: undefined, service: 'sklad', route: 'r',
+			callerService: 'other', priority: 1, isIdempotent: false, mayWait: true, remainingMs, targetMs: remainingMs, lateMs: remainingMs,
+		}, resolve);
+	});
+}
+
+/** The field lines that a server's own answer to a request has. */
+function formatFields(request: string): string {
+	const {requestId = ''} = readRequestHead(request);
+	return formatAnswer(requestId, '', {isFramed: false}).replace(/^[^\n]*\n/v, '').replace(/\r\n$/v, '');
+}
+
+const refusalField = 'Buckthornpoint-Not-Executed: 1\r\n';
+
+for (const {name, format, needsEnd} of departures) {
+	test(`${name}: the request has no answer and may have run`, async t => {
+		const gate = await openGate(t, (socket, request) => {
+			const bytes = format(formatFields(request));
+			socket.end(bytes, 'latin1');
+		});
+		assert.deepEqual(await run(gate, 'a'), {kind: 'unknown', reason: 'connection-lost'});
+	});
+
+	test(`${name}, in a refusal: it does not prove that the request did not run`, async t => {
+		const gate = await openGate(t, (socket, request) => {
+			const bytes = format(formatFields(request) + refusalField);
+			socket.end(bytes, 'latin1');
+		});
+		assert.deepEqual(await run(gate, 'a'), {kind: 'unknown', reason: 'connection-lost'});
+	});
+
+	if (needsEnd !== true) {
+		test(`${name}, on a connection that stays open: the caller does not wait for its deadline`, async t => {
+			const gate = await openGate(t, (socket, request) => socket.write(format(formatFields(request)), 'latin1'));
+			assert.deepEqual(await run(gate, 'a'), {kind: 'unknown', reason: 'connection-lost'});
+		});
+	}
+}
+
+for (const legal of legalAnswers) {
+	test(`a legal answer is served: ${legal.name}`, async t => {
+		const gate = await openGate(t, (socket, request) => {
+			const bytes = legal.format(formatFields(request));
+			if (legal.endsConnection) {
+				socket.end(bytes, 'latin1');
+			} else {
+				socket.write(bytes, 'latin1');
+			}
+		});
+		// The second request shows that the connection carries further requests, or is replaced.
+		for (const id of ['a', 'b']) {
+			const outcome = await run(gate, id);
+			assert.deepEqual(outcome.kind === 'answer' ? [outcome.status, String(outcome.body)] : outcome, [legal.status, legal.body]);
+		}
+	});
+}
--- /dev/null
+++ b/wire/http1/src/response-head.ts
@@ -0,0 +1,128 @@
+import {
+	parseFieldLine, parseList, removeOuterBlanks, type RawFields,
+} from './field-lines.js';
+
+/** How the length of a body is given: by a number, by chunks, or by the end of the connection. `none` stands for an answer that has no body. */
+export type Framing = {readonly kind: 'length'; readonly length: number} | {readonly kind: 'chunked' | 'close' | 'none'};
+
+/** The head of an answer. */
+export type ResponseHead = {
+	readonly status: number;
+	/** Name, value, name, value, as received. */
+	readonly headers: RawFields;
+	readonly framing: Framing;
+	/** Whether the server keeps the connection open after the answer. */
+	readonly isKeptAlive: boolean;
+	/** Idle timeout that the server states; undefined if it states none. */
+	readonly maxIdleMs: number | undefined;
+};
+
+/** The values of all lines of the fields that give the length of a body, and the version. */
+type FramingFields = {readonly lengths: readonly string[]; readonly codings: readonly string[]; readonly isVersion10: boolean};
+
+/** The fields that say how an answer and its connection end. */
+const endFieldNames = ['content-length', 'transfer-encoding', 'connection', 'keep-alive'] as const;
+
+const statusLine = /^HTTP\/1\.([01]) (\d{3})(?: |$)/v;
+const decimal = /^\d+$/v;
+const leadingZeros = /^0+(?=\d)/v;
+const firstFinalStatus = 200;
+const statusNoContent = 204;
+const statusNotModified = 304;
+const msPerSecond = 1000;
+
+/** Whether another answer to the same request follows. */
+export function isInterim(status: number): boolean {
+	return status < firstFinalStatus;
+}
+
+/** Throws if a line without its line end is no status line (RFC 9112, section 4), or one that no answer to the node's requests has. */
+export function parseStatusLine(line: string): {readonly status: number; readonly isVersion10: boolean} {
+	const match = statusLine.exec(line);
+	const status = Number(match?.[2]);
+	if (match === null) {
+		throw new Error('the status line of the answer is invalid');
+	}
+
+	return {status, isVersion10: match[1] === '0'};
+}
+
+/** Parses the head of an answer, without the empty line at its end, to a request with `method`. Throws if it is none. */
+export function parseHead(text: string, method: string): ResponseHead {
+	const [first = '', ...lines] = text.split('\r\n');
+	const {status, isVersion10} = parseStatusLine(first);
+	const headers: string[] = [];
+	const values: ReadonlyMap<string, string[]> = new Map(endFieldNames.map(name => [name, []]));
+	for (const line of lines) {
+		const [name, value] = parseFieldLine(line);
+		headers.push(name, value);
+		values.get(name.toLowerCase())?.push(value);
+	}
+
+	const list = (name: typeof endFieldNames[number]): readonly string[] => values.get(name) ?? [];
+	return {
+		status,
+		headers,
+		framing: chooseFraming(status, method, {lengths: list('content-length'), codings: list('transfer-encoding'), isVersion10}),
+		isKeptAlive: isKeptAlive(list('connection'), isVersion10),
+		maxIdleMs: parseMaxIdle(list('keep-alive')),
+	};
+}
+
+/** Follows RFC 9112, section 6.3. Throws if the fields are invalid or contradict each other, also where the answer has no body. */
+function chooseFraming(status: number, method: string, {lengths, codings, isVersion10}: FramingFields): Framing {
+	const length = parseLength(lengths);
+	const isChunked = parseCoding(codings);
+	if (isChunked && (isVersion10 || length !== undefined)) {
+		throw new Error('the answer has a Transfer-Encoding and a Content-Length, or a Transfer-Encoding in version 1.0');
+	}
+
+	if (method === 'HEAD' || isInterim(status) || status === statusNoContent || status === statusNotModified) {
+		return {kind: 'none'};
+	}
+
+	if (isChunked) {
+		return {kind: 'chunked'};
+	}
+
+	return length === undefined ? {kind: 'close'} : {kind: 'length', length};
+}
+
+/** Returns the length that a Content-Length states, also if it repeats the same one; undefined without the field. */
+function parseLength(values: readonly string[]): number | undefined {
+	const lengths = new Set(values.flatMap(value => value.split(',')).map(text => removeOuterBlanks(text).replace(leadingZeros, '')));
+	const [length] = lengths;
+	if (length === undefined) {
+		return undefined;
+	}
+
+	if (lengths.size > 1 || !decimal.test(length)) {
+		throw new Error('the Content-Length of the answer is invalid');
+	}
+
+	return Number(length);
+}
+
+/** Returns whether the body is in chunks. Throws for another transfer coding, as no request asks for one, and for parameters, as `chunked` has none. */
+function parseCoding(values: readonly string[]): boolean {
+	if (values.length === 0) {
+		return false;
+	}
+
+	const codings = parseList(values);
+	if (codings.length !== 1 || codings[0]?.toLowerCase() !== 'chunked') {
+		throw new Error('the Transfer-Encoding of the answer is invalid or was not asked for');
+	}
+
+	return true;
+}
+
+function isKeptAlive(connection: readonly string[], isVersion10: boolean): boolean {
+	const options = new Set(parseList(connection).map(option => option.toLowerCase()));
+	return !options.has('close') && (!isVersion10 || options.has('keep-alive'));
+}
+
+function parseMaxIdle(values: readonly string[]): number | undefined {
+	const seconds = /timeout=(\d+)/v.exec(values.join(','))?.[1];
+	return seconds === undefined ? undefined : Number(seconds) * msPerSecond;
+}
--- a/wire/http1/src/response-parser.ts
+++ b/wire/http1/src/response-parser.ts
@@ -4,6 +4,9 @@
 import {
 	ChunkedBody, maxBodyBytes, FixedLengthBody, CloseDelimitedBody, type BodyReader,
 } from './body-reader.js';
+import {
+	isInterim, parseHead, parseStatusLine, type ResponseHead,
+} from './response-head.js';
 
 /** A complete answer of a backend server. */
 export type ParsedResponse = {
@@ -24,28 +27,16 @@
 const maxHeadBytes = 64 * 1024;
 
 const headEnd = Buffer.from('\r\n\r\n');
-const statusLine = /^HTTP\/1\.([01]) (\d{3})(?: |$)/v;
-const headerName = /^[\w!#$%\u0026'*+\-.^`\|~]+$/v;
-const headerValue = /^[\t\u0020-\u007E\u0080-\u00FF]*$/v;
-const decimal = /^\d{1,15}$/v;
-const msPerSecond = 1000;
-const firstFinalStatus = 200;
-
-type Head = {
-	readonly status: number;
-	readonly headers: readonly string[];
-	readonly framing: 'length' | 'chunked' | 'close' | 'none';
-	readonly length: number;
-	readonly isKeptAlive: boolean;
-	readonly maxIdleMs: number | undefined;
-};
+const lineEnd = Buffer.from('\r\n');
+const lineFeed = 0x0A;
+const versionPrefix = 'HTTP/1.';
 
-/** Parses the bytes of one connection into answers. Throws if they are not HTTP/1.1. */
+/** Parses the bytes of one connection into answers. Throws if they are none by the grammar of RFC 9112; the connection can't be read further then. */
 export class ResponseParser {
 	readonly #memoryLimit: AnswerMemoryLimit;
 	readonly #memory: BodyMemory | undefined;
 	#bytes: Buffer = Buffer.alloc(0);
-	#head: Head | undefined;
+	#head: ResponseHead | undefined;
 	#body: BodyReader | undefined;
 	/** Length of the heads read so far for the present answer. */
 	#headBytes = 0;
@@ -79,7 +70,7 @@
 			}
 
 			// Interim answers (1xx) are skipped.
-			if (head.status >= firstFinalStatus) {
+			if (!isInterim(head.status)) {
 				this.#head = head;
 				this.#body = createBodyReader(head, this.#memoryLimit, this.#memory);
 			}
@@ -96,7 +87,7 @@
 		return response;
 	}
 
-	#readHead(method: string): Head | undefined {
+	#readHead(method: string): ResponseHead | undefined {
 		const end = this.#bytes.indexOf(headEnd);
 		const length = end === -1 ? this.#bytes.length : end + headEnd.length;
 		if (this.#headBytes + length > maxHeadBytes) {
@@ -104,7 +95,7 @@
 		}
 
 		if (end === -1) {
-			checkStart(this.#bytes);
+			checkIncompleteHead(this.#bytes);
 			return undefined;
 		}
 
@@ -114,24 +105,25 @@
 		return head;
 	}
 
-	#readBody(head: Head, body: BodyReader): ParsedResponse | undefined {
+	#readBody(head: ResponseHead, body: BodyReader): ParsedResponse | undefined {
 		const {rest, isComplete} = body.read(this.#bytes);
 		this.#bytes = rest;
 		return isComplete ? this.#complete(head, body) : undefined;
 	}
 
-	#complete(head: Head, body: BodyReader): ParsedResponse {
+	#complete(head: ResponseHead, body: BodyReader): ParsedResponse {
 		this.#head = undefined;
 		this.#body = undefined;
 		this.#headBytes = 0;
+		const isFramed = head.framing.kind !== 'close';
 		return {
-			status: head.status, headers: head.headers, body: body.complete(), isFramed: head.framing !== 'close', isKeptAlive: head.isKeptAlive && head.framing !== 'close', maxIdleMs: head.maxIdleMs,
+			status: head.status, headers: head.headers, body: body.complete(), isFramed, isKeptAlive: head.isKeptAlive && isFramed, maxIdleMs: head.maxIdleMs,
 		};
 	}
 }
 
-function createBodyReader({framing, length}: Head, memoryLimit: AnswerMemoryLimit, memory: BodyMemory | undefined): BodyReader {
-	switch (framing) {
+function createBodyReader({framing}: ResponseHead, memoryLimit: AnswerMemoryLimit, memory: BodyMemory | undefined): BodyReader {
+	switch (framing.kind) {
 		case 'chunked': {
 			return new ChunkedBody(memoryLimit, memory);
 		}
@@ -140,84 +132,34 @@
 			return new CloseDelimitedBody(memoryLimit, memory);
 		}
 
-		case 'length':
-		case 'none': {
-			return new FixedLengthBody(length, memoryLimit, memory);
-		}
-	}
-}
-
-/** Throws early if the first bytes can't be the start of an answer. */
-function checkStart(bytes: Buffer): void {
-	const start = bytes.toString('latin1', 0, Math.min(bytes.length, 'HTTP/1.'.length));
-	if (!'HTTP/1.'.startsWith(start)) {
-		throw new Error('the received bytes are not an HTTP/1.1 answer');
-	}
-}
-
-function parseHead(head: string, method: string): Head {
-	const [first, ...lines] = head.split('\r\n');
-	const match = statusLine.exec(first ?? '');
-	if (match === null) {
-		throw new Error('the status line is malformed');
-	}
+		case 'length': {
+			if (framing.length > maxBodyBytes) {
+				throw new Error('the body of the answer exceeds the maximum length');
+			}
 
-	const headers: string[] = [];
-	const fields = new Map<string, string>();
-	for (const line of lines) {
-		const colon = line.indexOf(':');
-		if (colon < 1) {
-			throw new Error('a header line has no colon or no name');
+			return new FixedLengthBody(framing.length, memoryLimit, memory);
 		}
 
-		const name = line.slice(0, colon);
-		const value = line.slice(colon + 1).trim();
-		if (!headerName.test(name) || !headerValue.test(value)) {
-			throw new Error('a header contains invalid characters');
+		case 'none': {
+			return new FixedLengthBody(0, memoryLimit, memory);
 		}
-
-		headers.push(name, value);
-		fields.set(name.toLowerCase(), value);
 	}
-
-	const status = Number(match[2]);
-	const connection = fields.get('connection')?.toLowerCase();
-	return {
-		status,
-		headers,
-		...chooseFraming(status, method, fields),
-		isKeptAlive: match[1] === '1' ? connection !== 'close' : connection === 'keep-alive',
-		maxIdleMs: parseMaxIdle(fields.get('keep-alive')),
-	};
 }
 
-function chooseFraming(status: number, method: string, fields: ReadonlyMap<string, string>): Pick<Head, 'framing' | 'length'> {
-	if (method === 'HEAD' || status < firstFinalStatus || status === 204 || status === 304) {
-		return {framing: 'none', length: 0};
-	}
-
-	const encoding = fields.get('transfer-encoding');
-	const length = fields.get('content-length');
-	if (encoding !== undefined) {
-		if (encoding.toLowerCase() !== 'chunked' || length !== undefined) {
-			throw new Error('the answer has both a Transfer-Encoding and a Content-Length, or an unsupported Transfer-Encoding');
-		}
-
-		return {framing: 'chunked', length: 0};
+/** Throws if the bytes that were received so far can't be the start of an answer, so that nobody waits for the rest of a broken one. */
+function checkIncompleteHead(bytes: Buffer): void {
+	const start = bytes.toString('latin1', 0, Math.min(bytes.length, versionPrefix.length));
+	if (!versionPrefix.startsWith(start)) {
+		throw new Error('the received bytes are not an HTTP/1.1 answer');
 	}
 
-	if (length === undefined) {
-		return {framing: 'close', length: 0};
+	const length = bytes.indexOf(lineEnd);
+	if (length !== -1) {
+		parseStatusLine(bytes.toString('latin1', 0, length));
 	}
 
-	if (!decimal.test(length) || Number(length) > maxBodyBytes) {
-		throw new Error('the Content-Length of the answer is invalid or exceeds the maximum body length');
+	const lastLine = bytes.lastIndexOf(lineEnd);
+	if (bytes.includes(lineFeed, lastLine === -1 ? 0 : lastLine + lineEnd.length)) {
+		throw new Error('a line of the answer does not end with CR and LF');
 	}
-
-	return {framing: 'length', length: Number(length)};
-}
-
-function parseMaxIdle(value: string | undefined): number | undefined {
-	const seconds = /timeout=(\d+)/v.exec(value ?? '')?.[1];
-	return seconds === undefined ? undefined : Number(seconds) * msPerSecond;
 }
