fix: take no status line for an answer's that the grammar does not allow

A server in trouble sent an answer whose status was 000, or whose status line held control bytes. With 000 the caller got nothing until its deadline, or a legal answer after it as its own; statuses from 600 on, a status line without the space after the status, and reasons with NUL, CR or a line feed reached the caller as answers. With a line feed the next line, which told the length, was part of the reason.

Cause: the reason was not checked, any three digits were a status, and all statuses below 200 counted as interim answers, so that 000 to 099 were skipped, and 101 as well, although no request asks to switch protocols.

Change: the status line is matched as a whole (RFC 9112, section 4), with a status of 100 to 599 (RFC 9110, section 15) other than 101. Versions 1.2 to 1.9 stay refused: no specification defines them.

Test: the rows of status-line-departures.ts.

--- a/stand-ins/answers/src/departures.ts
+++ b/stand-ins/answers/src/departures.ts
@@ -1,4 +1,5 @@
 import {createDepartures, type Departure} from './departure.js';
+import {statusLineDepartures} from './status-line-departures.js';
 
 const ok = 'HTTP/1.1 200 OK\r\n';
 
@@ -93,4 +94,4 @@
 ], bytes => fields => bytes.replace('*', () => fields));
 
 /** All departures. Their names are unique. */
-export const departures: readonly Departure[] = [...fieldLines, ...lengths, ...codings, ...wholeAnswers];
+export const departures: readonly Departure[] = [...statusLineDepartures, ...fieldLines, ...lengths, ...codings, ...wholeAnswers];
--- a/wire/http1/src/response-head.ts
+++ b/wire/http1/src/response-head.ts
@@ -23,10 +23,11 @@
 /** The fields that say how an answer and its connection end. */
 const endFieldNames = ['content-length', 'transfer-encoding', 'connection', 'keep-alive'] as const;
 
-const statusLine = /^HTTP\/1\.([01]) (\d{3})(?: |$)/v;
+const statusLine = /^HTTP\/1\.([01]) ([1-5]\d{2}) [\t\u0020-\u007E\u0080-\u00FF]*$/v;
 const decimal = /^\d+$/v;
 const leadingZeros = /^0+(?=\d)/v;
 const firstFinalStatus = 200;
+const statusSwitchingProtocols = 101;
 const statusNoContent = 204;
 const statusNotModified = 304;
 const msPerSecond = 1000;
@@ -40,7 +41,7 @@
 export function parseStatusLine(line: string): {readonly status: number; readonly isVersion10: boolean} {
 	const match = statusLine.exec(line);
 	const status = Number(match?.[2]);
-	if (match === null) {
+	if (match === null || status === statusSwitchingProtocols) {
 		throw new Error('the status line of the answer is invalid');
 	}
 
