fix: check the size lines, extensions and trailers of chunked answers by the grammar

Callers got chunked answers as complete whose size lines held blanks, broken extensions, bare CR or LF, and whose trailer was no list of fields, among them one with the status line of another answer in place of its end: bytes that a broken server had mixed up.

Cause: of a size line only the part before the first semicolon was checked, after white space had been trimmed from it, and of the trailer nothing. Bytes that belong to no line were recognised only at the next line end, or at the caller's deadline.

Change: a size line is matched as a whole (RFC 9112, section 7.1), each line of a trailer is a field line, and bytes that can't become either are refused at once. Sizes with many leading zeros, which are legal, are served. Extensions and trailers are dropped as before.

Test: the rows of chunk-departures.ts.

--- a/stand-ins/answers/src/departures.ts
+++ b/stand-ins/answers/src/departures.ts
@@ -1,3 +1,4 @@
+import {chunkDepartures} from './chunk-departures.js';
 import {createDepartures, type Departure} from './departure.js';
 import {statusLineDepartures} from './status-line-departures.js';
 
@@ -94,4 +95,4 @@
 ], bytes => fields => bytes.replace('*', () => fields));
 
 /** All departures. Their names are unique. */
-export const departures: readonly Departure[] = [...statusLineDepartures, ...fieldLines, ...lengths, ...codings, ...wholeAnswers];
+export const departures: readonly Departure[] = [...statusLineDepartures, ...fieldLines, ...lengths, ...codings, ...chunkDepartures, ...wholeAnswers];
--- a/stand-ins/answers/src/legal-answers.ts
+++ b/stand-ins/answers/src/legal-answers.ts
@@ -60,11 +60,13 @@
 const chunks = createAnswers([
 	['several chunks', '1\r\nb\r\n2\r\nod\r\n1\r\ny\r\n0\r\n\r\n'],
 	['sizes of hexadecimal digits in both cases', `a\r\n${'a'.repeat(10)}\r\nA\r\n${'b'.repeat(10)}\r\n0\r\n\r\n`, {body: `${'a'.repeat(10)}${'b'.repeat(10)}`}],
+	['zeros before a size', '000000000000000000004\r\nbody\r\n0\r\n\r\n'],
 	['several zeros as last chunk', '4\r\nbody\r\n0000\r\n\r\n'],
 	['no chunk but the last', '0\r\n\r\n', {body: ''}],
 	['line ends in a chunk', '6\r\n\r\n0\r\n\r\r\n0\r\n\r\n', {body: '\r\n0\r\n\r'}],
 	['an extension', '4;a\r\nbody\r\n0\r\n\r\n'],
 	['an extension with a value', '4;a=b\r\nbody\r\n0\r\n\r\n'],
+	['blanks and tabs in an extension', '4 \t; a\t=\t b ;c\r\nbody\r\n0\r\n\r\n'],
 	['a quoted extension', '4;a="b;c=\\"d\\\\ \te\u00E9"\r\nbody\r\n0\r\n\r\n'],
 	['an empty quoted extension', '4;a=""\r\nbody\r\n0\r\n\r\n'],
 	['extensions of the last chunk', '4\r\nbody\r\n0;a;b=c\r\n\r\n'],
--- a/wire/http1/src/body-reader.ts
+++ b/wire/http1/src/body-reader.ts
@@ -6,15 +6,6 @@
 /** A longer body is treated as a fault of the server. */
 export const maxBodyBytes = 16 * 1024 * 1024;
 
-/** Limit for the line with the size and the extensions of a chunk, and for each line of the trailer. */
-const maxLineBytes = 4096;
-
-/** Limit for all lines of the trailer together. */
-const maxTrailerBytes = 64 * 1024;
-
-const lineEnd = Buffer.from('\r\n');
-const hexadecimal = /^[\da-fA-F]{1,8}$/v;
-
 /** Collects the body of one answer. The lengths of bodies and lines are limited, since a faulty server may never stop sending. */
 export abstract class BodyReader {
 	readonly #memoryLimit: AnswerMemoryLimit;
@@ -134,82 +125,3 @@
 		return true;
 	}
 }
-
-/** A body with chunked transfer coding. */
-export class ChunkedBody extends BodyReader {
-	#state: 'size' | 'data' | 'data-end' | 'trailer' = 'size';
-	#remainingBytes = 0;
-	#trailerBytes = 0;
-
-	override read(bytes: Buffer): {readonly rest: Buffer; readonly isComplete: boolean} {
-		let rest = bytes;
-		while (true) {
-			if (this.#state === 'data') {
-				rest = this.#readData(rest);
-				if (this.#remainingBytes > 0) {
-					return {rest, isComplete: false};
-				}
-
-				this.#state = 'data-end';
-			}
-
-			const length = findLineEnd(rest);
-			if (length === undefined) {
-				return {rest, isComplete: false};
-			}
-
-			const line = rest.toString('latin1', 0, length);
-			rest = rest.subarray(length + lineEnd.length);
-			if (this.#readLine(line)) {
-				return {rest, isComplete: true};
-			}
-		}
-	}
-
-	#readData(bytes: Buffer): Buffer {
-		const dataBytes = bytes.subarray(0, this.#remainingBytes);
-		this.add(dataBytes);
-		this.#remainingBytes -= dataBytes.length;
-		return bytes.subarray(dataBytes.length);
-	}
-
-	/** Parses one line. Returns whether it ends the body: the empty line at the end of the trailer. Trailer fields are dropped. */
-	#readLine(line: string): boolean {
-		if (this.#state === 'trailer') {
-			this.#trailerBytes += line.length;
-			if (this.#trailerBytes > maxTrailerBytes) {
-				throw new Error('the trailer of the answer exceeds the maximum length');
-			}
-
-			return line === '';
-		}
-
-		if (this.#state === 'data-end') {
-			if (line !== '') {
-				throw new Error('a chunk is longer than its size line states');
-			}
-
-			this.#state = 'size';
-			return false;
-		}
-
-		const sizeField = line.split(';', 1)[0]!.trim();
-		if (!hexadecimal.test(sizeField)) {
-			throw new Error('the size of a chunk is not a hexadecimal number of at most 8 digits');
-		}
-
-		this.#remainingBytes = Number.parseInt(sizeField, 16);
-		this.#state = this.#remainingBytes === 0 ? 'trailer' : 'data';
-		return false;
-	}
-}
-
-/** Returns the length of the first line; undefined while it is incomplete. */
-function findLineEnd(bytes: Buffer): number | undefined {
-	const length = bytes.indexOf(lineEnd);
-	if (length > maxLineBytes || (length === -1 && bytes.length > maxLineBytes)) {
-		throw new Error('a chunk size line or a trailer line exceeds the maximum length');
-	}
-
-	return length === -1 ? undefined : length;
-}
--- a/wire/http1/src/response-parser.ts
+++ b/wire/http1/src/response-parser.ts
@@ -1,8 +1,9 @@
 import {Buffer} from 'node:buffer';
 import type {Body, BodyMemory} from '@buckthornpoint/frames/body-blocks.js';
+import {ChunkedBody} from './chunked-body.js';
 import {AnswerMemoryLimit} from './answer-memory-limit.js';
 import {
-	ChunkedBody, maxBodyBytes, FixedLengthBody, CloseDelimitedBody, type BodyReader,
+	maxBodyBytes, FixedLengthBody, CloseDelimitedBody, type BodyReader,
 } from './body-reader.js';
 import {
 	isInterim, parseHead, parseStatusLine, type ResponseHead,
