fix: read the answers of the store, of nodes and of the older daemon's servers by the grammar

Everything but the fleet's backend servers was read by the HTTP library alone. It took bytes for answers that are none: versions 0.9 and 2.0, statuses from 600 on, control bytes in a reason, transfer codings that nobody asked for, sometimes with the chunks left in the body. It refused legal ones, among them any answer with '100 Continue' before it. And it completes an answer without a length when its connection is reset: the store's client took a part of the rows for all of them, and a transaction for committed; the older daemon believed a refusal in such bytes and answered 'not run' of a request that may have run.

Change: the library keeps its pools, queues and timeouts, but its connections are given by a connector of wire/http1. On these the one strict parser reads the bytes, and the library gets each answer only when it is complete, in its plainest form with a length. So what it would accept beyond the grammar doesn't matter. The workspace check refuses an import of the library anywhere else.

Ruled out: checks behind the library, as it doesn't pass on what it read; a client of our own, as pools and timeouts are plumbing.

--- a/cli/buckthornpoint/src/fleet/read-nodes.ts
+++ b/cli/buckthornpoint/src/fleet/read-nodes.ts
@@ -1,6 +1,6 @@
 import {Buffer} from 'node:buffer';
 import {err, ok, type Result} from 'neverthrow';
-import {request} from 'undici';
+import {sendRequest} from '@buckthornpoint/http1/send-request.js';
 import type {CommandContext} from '../command.js';
 import {parseMetrics, type Sample} from './parse-metrics.js';
 
@@ -54,7 +54,7 @@
 	try {
 		const signal = AbortSignal.any([timeout.signal, context.signal]);
 		// Without `reset`, the idle connection would keep the process of the command alive.
-		const {statusCode, body} = await request(`http://${address}/metrics`, {signal, reset: true});
+		const {statusCode, body} = await sendRequest(`http://${address}/metrics`, {signal, reset: true});
 		const text = await readText(body);
 		const samples = statusCode === statusOk
 			? text.andThen(value => parseMetrics(value)).andThen(value => checkNode(value))
--- a/cli/buckthornpoint/src/operator-client.ts
+++ b/cli/buckthornpoint/src/operator-client.ts
@@ -5,7 +5,7 @@
 import {toResult} from '@buckthornpoint/documents/either.js';
 import {err, ok, type Result} from 'neverthrow';
 import {array, Codec} from 'purify-ts';
-import {request} from 'undici';
+import {sendRequest} from '@buckthornpoint/http1/send-request.js';
 import type {OperatorSettings} from './operator-settings.js';
 import {decodeStatusAnswer, type StatusAnswer} from './status-answer.js';
 
@@ -103,7 +103,7 @@
 /** Returns the answer of a node, or a failure if another node should be tried: the node cannot be reached, its answer was lost, or it cannot reach the store. */
 async function callNode(node: string, operatorKey: string, call: Call): Promise<Result<NodeAnswer, OperatorFailure>> {
 	try {
-		const response = await request(new URL(`/v1/operator/${call.path}`, node), {
+		const response = await sendRequest(new URL(`/v1/operator/${call.path}`, node), {
 			method: call.method,
 			headers: {authorization: `Bearer ${operatorKey}`, 'content-type': 'application/json'},
 			body: call.body === undefined ? undefined : JSON.stringify(call.body),
--- a/client/client/src/node-connections.ts
+++ b/client/client/src/node-connections.ts
@@ -4,7 +4,8 @@
 import {
 	Codec, number, optional, string,
 } from 'purify-ts';
-import {Pool, type Dispatcher} from 'undici';
+import {createPool} from '@buckthornpoint/http1/create-pool.js';
+import type {Dispatcher, Pool} from 'undici';
 
 const outcomeHeader = 'buckthornpoint-outcome';
 const requestIdHeader = 'buckthornpoint-request-id';
@@ -64,7 +65,7 @@
 			return existing;
 		}
 
-		const pool = new Pool(origin, {connections: this.#connections, pipelining: 1});
+		const pool = createPool(origin, {connections: this.#connections, pipelining: 1});
 		this.#pools.set(origin, pool);
 		return pool;
 	}
--- a/client/client/src/routing-cache.ts
+++ b/client/client/src/routing-cache.ts
@@ -1,6 +1,6 @@
 import {toBuckthornpointError, BuckthornpointError} from '@buckthornpoint/errors/errors.js';
 import {err, ok, type Result} from 'neverthrow';
-import {request} from 'undici';
+import {sendRequest} from '@buckthornpoint/http1/send-request.js';
 import type {RoutingDocument} from '@buckthornpoint/types/routing-document.js';
 import {decodeRoutingDocument, isAtLeastAsNew} from './routing-document.js';
 
@@ -55,7 +55,7 @@
 
 async function queryNode(origin: string, timeoutMs: number): Promise<Result<RoutingDocument, BuckthornpointError>> {
 	try {
-		const response = await request(`${origin}/v1/routing`, {signal: AbortSignal.timeout(timeoutMs)});
+		const response = await sendRequest(`${origin}/v1/routing`, {signal: AbortSignal.timeout(timeoutMs)});
 		const body = await response.body.json();
 		if (response.statusCode !== statusOk) {
 			return err(new BuckthornpointError('ERR_PEER_UNREACHABLE', `${origin} answered ${response.statusCode} to the question for its routing table`));
--- a/node/backend-link/src/backend-connection.ts
+++ b/node/backend-link/src/backend-connection.ts
@@ -79,7 +79,7 @@
 
 	constructor(opts: BackendConnectionOpts) {
 		this.#opts = opts;
-		this.#parser = new ResponseParser(opts.memoryLimit, opts.memory);
+		this.#parser = new ResponseParser(opts);
 		this.#socket = createConnection({
 			host: opts.host, port: opts.port, noDelay: true, allowHalfOpen: true,
 		});
--- a/node/guard/src/backend-client.ts
+++ b/node/guard/src/backend-client.ts
@@ -3,7 +3,9 @@
 } from '@buckthornpoint/types/requests.js';
 import {formatFence, type Fence} from '@buckthornpoint/types/identity.js';
 import type {BackendServer} from '@buckthornpoint/types/membership.js';
-import {Pool, type Dispatcher} from 'undici';
+import {AnswerMemoryLimit} from '@buckthornpoint/http1/answer-memory-limit.js';
+import {createPool} from '@buckthornpoint/http1/create-pool.js';
+import type {Dispatcher, Pool} from 'undici';
 
 const refusedHeader = 'buckthornpoint-refused';
 /** Error codes that occur only before a connection is established: the request was not sent. */
@@ -31,7 +33,7 @@
 	readonly #pool: Pool;
 
 	constructor(backendServer: BackendServer, opts: BackendClientOpts) {
-		this.#pool = new Pool(backendServer.origin, {connections: opts.maxConnections, pipelining: 1});
+		this.#pool = createPool(backendServer.origin, {connections: opts.maxConnections, pipelining: 1, memoryLimit: new AnswerMemoryLimit()});
 	}
 
 	/** Sends the request with the fence and returns the complete answer, or a failure that says whether the request may have been executed. */
--- a/stand-ins/backend-server/src/backend-server.ts
+++ b/stand-ins/backend-server/src/backend-server.ts
@@ -4,7 +4,7 @@
 import type {RandomSource} from '@buckthornpoint/clock/random.js';
 import {SeededRandom} from '@buckthornpoint/clock/seeded-random.js';
 import type {BackendServer} from '@buckthornpoint/types/membership.js';
-import {request} from 'undici';
+import {sendRequest} from '@buckthornpoint/http1/send-request.js';
 import type {BackendServerFaults} from './faults.js';
 import type {BackendServerCounts} from './run-counter.js';
 import {createServerApi} from './server-api.js';
@@ -146,7 +146,7 @@
 	async #announce(): Promise<void> {
 		const {name, service, slots, checksFence, nodeOrigin} = this.#opts;
 		try {
-			const response = await request(`${nodeOrigin}/v1/announcements`, {
+			const response = await sendRequest(`${nodeOrigin}/v1/announcements`, {
 				method: 'POST',
 				headers: {'content-type': 'application/json'},
 				body: JSON.stringify({
--- a/tools/load/src/backend-control.ts
+++ b/tools/load/src/backend-control.ts
@@ -1,16 +1,16 @@
 import type {BackendServerFaults} from '@buckthornpoint/backend-server/faults.js';
 import type {BackendServerCounts} from '@buckthornpoint/backend-server/run-counter.js';
-import {request} from 'undici';
+import {sendRequest} from '@buckthornpoint/http1/send-request.js';
 
 /** Fetches the request counters of the backend server at the origin, counted since its start. */
 export async function readCounts(origin: string): Promise<BackendServerCounts> {
-	const response = await request(`${origin}/buckthornpoint/counts`);
+	const response = await sendRequest(`${origin}/buckthornpoint/counts`);
 	return await response.body.json() as BackendServerCounts; // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion
 }
 
 /** Fetches how often each request was executed by the backend server, by request id. */
 export async function readRuns(origin: string): Promise<ReadonlyMap<string, number>> {
-	const response = await request(`${origin}/buckthornpoint/runs`);
+	const response = await sendRequest(`${origin}/buckthornpoint/runs`);
 	return new Map(Object.entries(await response.body.json() as Readonly<Record<string, number>>)); // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion
 }
 
@@ -26,7 +26,7 @@
 
 async function sendCommand(method: 'PUT' | 'POST', url: string, document: unknown): Promise<void> {
 	try {
-		const response = await request(url, {method, headers: {'content-type': 'application/json'}, body: JSON.stringify(document)});
+		const response = await sendRequest(url, {method, headers: {'content-type': 'application/json'}, body: JSON.stringify(document)});
 		await response.body.dump();
 	} catch {
 		// A restart closes all connections, including the one that carried this request.
--- a/tools/load/src/call.ts
+++ b/tools/load/src/call.ts
@@ -1,5 +1,6 @@
 import type {Clock} from '@buckthornpoint/clock/clock.js';
-import {Pool, type Dispatcher} from 'undici';
+import {createPool} from '@buckthornpoint/http1/create-pool.js';
+import type {Dispatcher, Pool} from 'undici';
 
 const statusOk = 200;
 const timeoutMarginMs = 2000;
@@ -56,7 +57,7 @@
 	constructor(clock: Clock, opts: NodePathOpts) {
 		super();
 		this.#clock = clock;
-		this.#pools = opts.origins.map(origin => new Pool(origin, {connections: opts.connectionsPerNode, pipelining: 1}));
+		this.#pools = opts.origins.map(origin => createPool(origin, {connections: opts.connectionsPerNode, pipelining: 1}));
 	}
 
 	override async send(call: Call): Promise<CallResult> {
--- a/tools/load/src/deployment.ts
+++ b/tools/load/src/deployment.ts
@@ -5,7 +5,7 @@
 import type {NodeSettings} from '@buckthornpoint/settings/settings.js';
 import {TableService} from '@buckthornpoint/table-service/table-service.js';
 import type {Configuration} from '@buckthornpoint/types/configuration.js';
-import {request} from 'undici';
+import {sendRequest} from '@buckthornpoint/http1/send-request.js';
 import {MeasuredProcess} from './child-process.js';
 import {
 	createConfiguration, pickFailureDomain, type DeploymentPlan, type ServicePlan,
@@ -92,7 +92,7 @@
 
 /** Writes a configuration to the row of the table service from which nodes read it. */
 export async function writeConfiguration(tableStore: string, configuration: Configuration): Promise<void> {
-	const response = await request(`${tableStore}/v1/transactions`, {
+	const response = await sendRequest(`${tableStore}/v1/transactions`, {
 		method: 'POST',
 		headers: {'content-type': 'application/json'},
 		body: JSON.stringify({writeId: 'setup', conditions: [], writes: [{key: 'configuration', value: configuration}]}),
@@ -102,7 +102,7 @@
 
 /** Applies a release note through the operator interface of a node. */
 async function applyReleaseNote(origin: string, file: string): Promise<void> {
-	const response = await request(`${origin}/v1/operator/notes`, {
+	const response = await sendRequest(`${origin}/v1/operator/notes`, {
 		method: 'POST',
 		headers: {'content-type': 'application/json', authorization: `Bearer ${operatorKey}`},
 		body: JSON.stringify({
@@ -148,7 +148,7 @@
 
 async function probeService(origin: string, service: ServicePlan, key: string): Promise<boolean> {
 	const method = service.lookupPath === undefined ? 'POST' : 'GET';
-	const response = await request(`${origin}${service.lookupPath ?? service.orderPath ?? '/'}`, {
+	const response = await sendRequest(`${origin}${service.lookupPath ?? service.orderPath ?? '/'}`, {
 		method, headers: {'buckthornpoint-service': service.name, 'buckthornpoint-key': key},
 	});
 	await response.body.dump();
--- a/tools/load/src/experiment-cluster.ts
+++ b/tools/load/src/experiment-cluster.ts
@@ -3,7 +3,7 @@
 import type {Clock} from '@buckthornpoint/clock/clock.js';
 import {TableService} from '@buckthornpoint/table-service/table-service.js';
 import type {Configuration} from '@buckthornpoint/types/configuration.js';
-import {request} from 'undici';
+import {sendRequest} from '@buckthornpoint/http1/send-request.js';
 import {readCounts, setCold, setFaults} from './backend-control.js';
 import {MeasuredProcess} from './child-process.js';
 import {createNodeSettings, writeConfiguration} from './deployment.js';
@@ -130,7 +130,7 @@
 }
 
 async function probeNode(origin: string, key: string): Promise<boolean> {
-	const response = await request(`${origin}${experimentService.lookupPath}`, {
+	const response = await sendRequest(`${origin}${experimentService.lookupPath}`, {
 		method: 'POST', body: key, headers: {'buckthornpoint-service': experimentService.name, 'buckthornpoint-key': key},
 	});
 	await response.body.dump();
--- a/tools/load/src/hops.ts
+++ b/tools/load/src/hops.ts
@@ -2,7 +2,7 @@
 import type {Clock} from '@buckthornpoint/clock/clock.js';
 import {TableService} from '@buckthornpoint/table-service/table-service.js';
 import Table from 'cli-table3';
-import {request} from 'undici';
+import {sendRequest} from '@buckthornpoint/http1/send-request.js';
 import {MeasuredProcess} from './child-process.js';
 import {createNodeSettings, writeConfiguration} from './deployment.js';
 import {createConfiguration, type DeploymentPlan} from './deployments.js';
@@ -143,7 +143,7 @@
 }
 
 async function probe(origin: string, key: string): Promise<boolean> {
-	const response = await request(`${origin}${service.lookupPath}`, {method: 'POST', body: key, headers: {'buckthornpoint-service': service.name, 'buckthornpoint-key': key}});
+	const response = await sendRequest(`${origin}${service.lookupPath}`, {method: 'POST', body: key, headers: {'buckthornpoint-service': service.name, 'buckthornpoint-key': key}});
 	await response.body.dump();
 	return response.statusCode === statusOk;
 }
--- a/tools/load/src/naive-path.ts
+++ b/tools/load/src/naive-path.ts
@@ -1,6 +1,7 @@
 import type {Clock} from '@buckthornpoint/clock/clock.js';
 import type {RandomSource} from '@buckthornpoint/clock/random.js';
-import {Pool} from 'undici';
+import {createPool} from '@buckthornpoint/http1/create-pool.js';
+import type {Pool} from 'undici';
 import {
 	CallPath, exchange, type Call, type CallResult,
 } from './call.js';
@@ -26,7 +27,7 @@
 	constructor(opts: NaivePathOpts) {
 		super();
 		this.#opts = opts;
-		this.#pools = opts.origins.map(origin => new Pool(origin, {pipelining: 1}));
+		this.#pools = opts.origins.map(origin => createPool(origin, {pipelining: 1}));
 	}
 
 	override async send(call: Call): Promise<CallResult> {
--- a/tools/recovery/src/apply-latency.ts
+++ b/tools/recovery/src/apply-latency.ts
@@ -5,7 +5,7 @@
 import {startDaemon, type Daemon} from '@buckthornpoint/daemon/daemon.js';
 import {SilentLog} from '@buckthornpoint/log/reporters.js';
 import {TableService} from '@buckthornpoint/table-service/table-service.js';
-import {request} from 'undici';
+import {sendRequest} from '@buckthornpoint/http1/send-request.js';
 
 /**
  * Measures how long an accepted configuration takes to be in force on all nodes of a cell, as the status of the nodes
@@ -101,7 +101,7 @@
 		added: {failureDomains: [{name: `domain-${version}`}]},
 		withdrawn: version === 1 ? undefined : {failureDomains: [`domain-${version - 1}`]},
 	});
-	const response = await request(`${daemon.callerOrigin}/v1/operator/notes`, {
+	const response = await sendRequest(`${daemon.callerOrigin}/v1/operator/notes`, {
 		method: 'POST',
 		headers: {'content-type': 'application/json', authorization: `Bearer ${operatorKey}`},
 		body: JSON.stringify({
@@ -120,7 +120,7 @@
 };
 
 async function requestStatus(daemon: Daemon): Promise<NodeStatus> {
-	const response = await request(`${daemon.callerOrigin}/v1/operator/status`, {headers: {authorization: `Bearer ${operatorKey}`}});
+	const response = await sendRequest(`${daemon.callerOrigin}/v1/operator/status`, {headers: {authorization: `Bearer ${operatorKey}`}});
 	const {status} = await response.body.json() as {readonly status: NodeStatus}; // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion
 	return status;
 }
--- a/tools/recovery/src/availability-monitor.ts
+++ b/tools/recovery/src/availability-monitor.ts
@@ -1,5 +1,5 @@
 import type {Clock} from '@buckthornpoint/clock/clock.js';
-import {Agent, request} from 'undici';
+import {sendRequest} from '@buckthornpoint/http1/send-request.js';
 import type {Cluster} from './cluster.js';
 import {keyHeader, listProbeKeys} from './workload.js';
 
@@ -12,7 +12,6 @@
 export class AvailabilityMonitor {
 	readonly #cluster: Cluster;
 	readonly #clock: Clock;
-	readonly #agent = new Agent({connections: 16});
 	readonly #longestOutageMs = new Map<string, number>();
 	readonly #closed = new AbortController();
 	#nextVmIndex = 0;
@@ -30,7 +29,6 @@
 	/** Monitors all partitions until the monitor is closed. */
 	async run(): Promise<void> {
 		await Promise.all(listProbeKeys().map(async key => this.#watchKey(key)));
-		await this.#agent.destroy();
 	}
 
 	/** Returns the longest outage of each partition so far, in ascending order; 0 for partitions without a failed call. */
@@ -68,9 +66,8 @@
 		const running = this.#cluster.vms.filter(({isRunning}) => isRunning);
 		const vm = running[this.#nextVmIndex++ % running.length];
 		try {
-			const response = await request(vm?.callerOrigin ?? '', {
+			const response = await sendRequest(vm?.callerOrigin ?? '', {
 				headers: {'buckthornpoint-service': 'sklad', [keyHeader]: key, 'buckthornpoint-deadline-ms': String(deadlineMs)},
-				dispatcher: this.#agent,
 				signal: AbortSignal.timeout(callTimeoutMs),
 			});
 			await response.body.dump();
--- a/tools/recovery/src/naive-node.ts
+++ b/tools/recovery/src/naive-node.ts
@@ -5,7 +5,7 @@
 import type {NodeSettings} from '@buckthornpoint/settings/settings.js';
 import {HttpTableStore} from '@buckthornpoint/table-store/http-table-store.js';
 import type {TableStore} from '@buckthornpoint/table-store/table-store.js';
-import {request} from 'undici';
+import {sendRequest} from '@buckthornpoint/http1/send-request.js';
 import {keyHeader, partitionCount} from './workload.js';
 
 const leaseMs = 3000;
@@ -57,7 +57,7 @@
 		}
 
 		try {
-			const answer = await request(origin, {headers: {[keyHeader]: key}, signal: AbortSignal.timeout(forwardTimeoutMs)});
+			const answer = await sendRequest(origin, {headers: {[keyHeader]: key}, signal: AbortSignal.timeout(forwardTimeoutMs)});
 			await answer.body.dump();
 			return answer.statusCode;
 		} catch {
--- a/tools/workspace-check/src/imports.ts
+++ b/tools/workspace-check/src/imports.ts
@@ -12,6 +12,10 @@
 
 const ioModules = /^node:(?:net|http|http2|https|dgram|dns|fs|tls|child_process|worker_threads|cluster|timers)|^(?:undici|hono|@hono\/.*|@connectrpc\/.*|hot-shots|consola)$/v;
 
+/** The only package that may use the HTTP library; the library alone accepts answers that are none by the grammar of HTTP/1.1. */
+const httpPackage = 'wire/http1/';
+const httpLibrary = 'undici';
+
 /** The system's clock and randomness, which may use I/O modules. */
 const pureExceptions = new Set(['core/clock/src/system-clock.ts', 'core/clock/src/system-random.ts']);
 
@@ -27,12 +31,19 @@
 			return [];
 		}
 
-		const message = checkImport(file, folder, statement.moduleSpecifier.text, packages);
+		const specifier = statement.moduleSpecifier.text;
+		const isTypeImport = statement.importClause?.phaseModifier === ts.SyntaxKind.TypeKeyword;
+		const message = isTypeImport ? checkImport(file, folder, specifier, packages) : checkHttpImport(file, specifier) ?? checkImport(file, folder, specifier, packages);
 		const {line, character} = source.getLineAndCharacterOfPosition(statement.getStart(source));
 		return message === undefined ? [] : [{code: 'ERR_DOCUMENT_VALUE' as const, message, place: {file, line: line + 1, column: character + 1}}];
 	});
 }
 
+function checkHttpImport(file: string, specifier: string): string | undefined {
+	const isAllowed = specifier !== httpLibrary || file.startsWith(httpPackage) || file.includes('/test/') || file.startsWith('features/');
+	return isAllowed ? undefined : `${httpLibrary} must be used through ${httpPackage}, which checks the answers`;
+}
+
 function checkImport(file: string, folder: string, specifier: string, packages: PackageFolders): string | undefined {
 	if (folder === pureFolder && !pureExceptions.has(file) && ioModules.test(specifier)) {
 		return `core must not do I/O, but imports ${specifier}`;
--- a/tools/workspace-check/test/imports.test.ts
+++ b/tools/workspace-check/test/imports.test.ts
@@ -15,6 +15,12 @@
 	assert.equal(checkImports('node/cell/src/a.ts', 'import {Clock} from \'@buckthornpoint/clock/clock.js\';', packages).length, 0);
 });
 
+test('the HTTP library is used only by the package that checks its answers', () => {
+	assert.equal(checkImports('platform/fleet/src/a.ts', 'import {request} from \'undici\';', packages).length, 1);
+	assert.equal(checkImports('platform/fleet/src/a.ts', 'import type {Pool} from \'undici\';', packages).length, 0);
+	assert.equal(checkImports('wire/http1/src/a.ts', 'import {Pool} from \'undici\';', packages).length, 0);
+});
+
 test('a function whose name does not begin with a listed verb is reported', () => {
 	const findings = checkFunctionNames('a.ts', 'function routeMap() {}\nfunction readMap() {}', new Set(['read']));
 	assert.deepEqual(findings.map(({place}) => place?.line), [1]);
--- a/wire/http1/src/answer-memory-limit.ts
+++ b/wire/http1/src/answer-memory-limit.ts
@@ -17,7 +17,7 @@
 	/** Reserves capacity for more bytes. Throws if the limit would be exceeded. */
 	acquire(bytes: number): void {
 		if (this.#usedBytes + bytes > this.#maxBytes) {
-			throw new Error('the incomplete answers of the backend server exceed their memory limit');
+			throw new Error('the incomplete answers of the server exceed their memory limit');
 		}
 
 		this.#usedBytes += bytes;
--- a/wire/http1/src/body-reader.ts
+++ b/wire/http1/src/body-reader.ts
@@ -3,21 +3,23 @@
 import type {BodyBlocks, Body, BodyMemory} from '@buckthornpoint/frames/body-blocks.js';
 import type {AnswerMemoryLimit} from './answer-memory-limit.js';
 
-/** A longer body is treated as a fault of the server. */
-export const maxBodyBytes = 16 * 1024 * 1024;
+/** Where the bytes of a body are held, and how many at most. */
+export type BodyOpts = {
+	readonly memoryLimit: AnswerMemoryLimit;
+	/** A body of several pieces is held in its blocks. */
+	readonly memory: BodyMemory | undefined;
+	readonly maxBodyBytes: number;
+};
 
 /** Collects the body of one answer. The lengths of bodies and lines are limited, since a faulty server may never stop sending. */
 export abstract class BodyReader {
-	readonly #memoryLimit: AnswerMemoryLimit;
-	readonly #memory: BodyMemory | undefined;
+	readonly #opts: BodyOpts;
 	#blocks: BodyBlocks | undefined;
 	#bytes: Buffer = Buffer.alloc(0);
 	#size = 0;
 
-	/** With `memory`, a body of several pieces is held in its blocks. */
-	constructor(memoryLimit: AnswerMemoryLimit, memory?: BodyMemory) {
-		this.#memoryLimit = memoryLimit;
-		this.#memory = memory;
+	constructor(opts: BodyOpts) {
+		this.#opts = opts;
 	}
 
 	/** Whether the body is complete once the server has ended the connection without an error. */
@@ -44,7 +46,7 @@
 	close(): void {
 		this.#blocks?.release();
 		this.#blocks = undefined;
-		this.#memoryLimit.release(this.#size);
+		this.#opts.memoryLimit.release(this.#size);
 		this.#bytes = Buffer.alloc(0);
 		this.#size = 0;
 	}
@@ -57,18 +59,18 @@
 			return;
 		}
 
-		if (this.#size + bytes.length > maxBodyBytes) {
-			throw new Error('the body of the answer exceeds the maximum length');
+		if (this.#size + bytes.length > this.#opts.maxBodyBytes) {
+			throw createTooLongError(this.#opts.maxBodyBytes);
 		}
 
-		this.#memoryLimit.acquire(bytes.length);
+		this.#opts.memoryLimit.acquire(bytes.length);
 		if (this.#size === 0) {
 			// Most bodies arrive in a single piece and are not copied.
 			this.#bytes = bytes;
-		} else if (this.#memory === undefined) {
+		} else if (this.#opts.memory === undefined) {
 			this.#addCopy(bytes);
 		} else {
-			this.#addToBlocks(this.#memory, bytes);
+			this.#addToBlocks(this.#opts.memory, bytes);
 		}
 
 		this.#size += bytes.length;
@@ -101,8 +103,8 @@
 export class FixedLengthBody extends BodyReader {
 	#remainingBytes: number;
 
-	constructor(length: number, memoryLimit: AnswerMemoryLimit, memory?: BodyMemory) {
-		super(memoryLimit, memory);
+	constructor(length: number, opts: BodyOpts) {
+		super(opts);
 		this.#remainingBytes = length;
 	}
 
@@ -125,3 +127,8 @@
 		return true;
 	}
 }
+
+/** Creates the error for a body beyond the limit. */
+export function createTooLongError(maxBodyBytes: number): Error {
+	return new Error(`the response is longer than ${maxBodyBytes} bytes`);
+}
--- a/wire/http1/src/response-parser.ts
+++ b/wire/http1/src/response-parser.ts
@@ -3,7 +3,7 @@
 import {ChunkedBody} from './chunked-body.js';
 import {AnswerMemoryLimit} from './answer-memory-limit.js';
 import {
-	maxBodyBytes, FixedLengthBody, CloseDelimitedBody, type BodyReader,
+	createTooLongError, FixedLengthBody, CloseDelimitedBody, type BodyOpts, type BodyReader,
 } from './body-reader.js';
 import {
 	isInterim, parseHead, parseStatusLine, type ResponseHead,
@@ -24,6 +24,18 @@
 	readonly maxIdleMs: number | undefined;
 };
 
+/** Limits of what is held of incomplete answers. */
+export type ParserOpts = {
+	/** Shared by the connections to one server. */
+	readonly memoryLimit?: AnswerMemoryLimit;
+	/** Large bodies are held in its blocks. */
+	readonly memory?: BodyMemory | undefined;
+	/** A longer body is treated as a fault of the server. */
+	readonly maxBodyBytes?: number;
+};
+
+const defaultMaxBodyBytes = 16 * 1024 * 1024;
+
 /** Limit for the head of an answer, including the heads of interim answers before it. */
 const maxHeadBytes = 64 * 1024;
 
@@ -34,18 +46,15 @@
 
 /** Parses the bytes of one connection into answers. Throws if they are none by the grammar of RFC 9112; the connection can't be read further then. */
 export class ResponseParser {
-	readonly #memoryLimit: AnswerMemoryLimit;
-	readonly #memory: BodyMemory | undefined;
+	readonly #bodyOpts: BodyOpts;
 	#bytes: Buffer = Buffer.alloc(0);
 	#head: ResponseHead | undefined;
 	#body: BodyReader | undefined;
 	/** Length of the heads read so far for the present answer. */
 	#headBytes = 0;
 
-	/** `memoryLimit` is shared by the connections to one server. With `memory`, large bodies are held in its blocks. */
-	constructor(memoryLimit = new AnswerMemoryLimit(), memory?: BodyMemory) {
-		this.#memory = memory;
-		this.#memoryLimit = memoryLimit;
+	constructor({memoryLimit = new AnswerMemoryLimit(), memory, maxBodyBytes = defaultMaxBodyBytes}: ParserOpts = {}) {
+		this.#bodyOpts = {memoryLimit, memory, maxBodyBytes};
 	}
 
 	/** Whether bytes of an incomplete or a surplus answer are buffered. */
@@ -73,7 +82,7 @@
 			// Interim answers (1xx) are skipped.
 			if (!isInterim(head.status)) {
 				this.#head = head;
-				this.#body = createBodyReader(head, this.#memoryLimit, this.#memory);
+				this.#body = createBodyReader(head, this.#bodyOpts);
 			}
 		}
 
@@ -123,26 +132,26 @@
 	}
 }
 
-function createBodyReader({framing}: ResponseHead, memoryLimit: AnswerMemoryLimit, memory: BodyMemory | undefined): BodyReader {
+function createBodyReader({framing}: ResponseHead, opts: BodyOpts): BodyReader {
 	switch (framing.kind) {
 		case 'chunked': {
-			return new ChunkedBody(memoryLimit, memory);
+			return new ChunkedBody(opts);
 		}
 
 		case 'close': {
-			return new CloseDelimitedBody(memoryLimit, memory);
+			return new CloseDelimitedBody(opts);
 		}
 
 		case 'length': {
-			if (framing.length > maxBodyBytes) {
-				throw new Error('the body of the answer exceeds the maximum length');
+			if (framing.length > opts.maxBodyBytes) {
+				throw createTooLongError(opts.maxBodyBytes);
 			}
 
-			return new FixedLengthBody(framing.length, memoryLimit, memory);
+			return new FixedLengthBody(framing.length, opts);
 		}
 
 		case 'none': {
-			return new FixedLengthBody(0, memoryLimit, memory);
+			return new FixedLengthBody(0, opts);
 		}
 	}
 }
--- a/wire/http1/test/response-parser.test.ts
+++ b/wire/http1/test/response-parser.test.ts
@@ -119,7 +119,7 @@
 
 test('the incomplete answers of one server share one memory limit and release their reservations', () => {
 	const memoryLimit = new AnswerMemoryLimit(100_000);
-	const parsers = Array.from({length: 4}, () => new ResponseParser(memoryLimit));
+	const parsers = Array.from({length: 4}, () => new ResponseParser({memoryLimit}));
 	const begin = Buffer.from(`HTTP/1.1 200 OK\r\nContent-Length: 40000\r\n\r\n${'a'.repeat(30_000)}`);
 	for (const parser of parsers.slice(0, 3)) {
 		assert.equal(parser.read(begin, 'GET'), undefined);
