test: endless answers on many connections, and late requests in a planned stop, on real processes

Both are handled on the code as it was; nothing in the product changed for them.

- A server that sends bytes without end on 40 connections at a time: lines of a head, interim answers, a body without a length, in large chunks and in chunks of a byte, a trailer.

--- a/node/mesh-daemon/test/crowds/fleet-processes.ts
+++ b/node/mesh-daemon/test/crowds/fleet-processes.ts
@@ -3,8 +3,6 @@
 import {once} from 'node:events';
 import {readdirSync, readFileSync} from 'node:fs';
 import {mkdtemp, rm, writeFile} from 'node:fs/promises';
-import {request} from 'node:http';
-import {createServer} from 'node:net';
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
 import process from 'node:process';
@@ -17,7 +15,9 @@
 import {StandInBackend} from '@buckthornpoint/fleet-stand-in/stand-in-backend.js';
 import {configurationRowKey, encodeConfiguration} from '@buckthornpoint/fleet-stand-in/stand-in-configuration.js';
 import {createCallerHeaders} from '@buckthornpoint/fleet-stand-in/stand-in-messages.js';
+import type {EndlessAnswer} from '@buckthornpoint/fleet-stand-in/endless-answer.js';
 import {StandInStore} from '@buckthornpoint/fleet-stand-in/stand-in-store.js';
+import {findFreePort, sendRequest, type ReceivedAnswer} from './loopback.js';
 
 const entryFile = fileURLToPath(new URL('../../src/main.js', import.meta.url));
 
@@ -54,6 +54,12 @@
 	readonly timeoutSeconds?: number;
 	/** How fast the servers read the body of a request; the usual pace by default. */
 	readonly getReadingPace?: (requestId: string) => ReadingPace;
+	/** How many requests a server runs at the same time; the default is 8. */
+	readonly slots?: number;
+	/** How long a server runs a request; the default is 5 ms. */
+	readonly workMs?: number;
+	/** What a server sends without end in place of its answer to a request. */
+	readonly getEndlessAnswer?: (requestId: string) => EndlessAnswer | undefined;
 	/** Lowered limits in the settings of the nodes. */
 	readonly settings?: {readonly maxDescriptors?: number};
 };
@@ -114,6 +120,11 @@
 		return status === statusOk;
 	}
 
+	/** Begins a planned stop. */
+	stop(): void {
+		this.#child.kill('SIGTERM');
+	}
+
 	async close(): Promise<void> {
 		if (this.end === undefined) {
 			const ended = once(this.#child, 'exit');
@@ -182,15 +193,15 @@
 	}
 
 	/** Sends one request with a body to the first node; in chunks if `isChunked` is set. */
-	async sendJob(body: Uint8Array, isChunked = false): Promise<{readonly status: number; readonly requestId: string}> {
+	async sendJob(body: Uint8Array, isChunked = false): Promise<ReceivedAnswer & {readonly requestId: string}> {
 		const requestId = this.createRequestId('job');
-		const {status} = await sendRequest(this.entry.callers, {
+		const received = await sendRequest(this.entry.callers, {
 			method: 'POST',
 			path: '/jobs/1',
 			headers: {host: routeHost, ...isChunked ? {'transfer-encoding': 'chunked'} : {'content-length': String(body.length)}, ...createCallerHeaders(requestId)},
 			body,
 		});
-		return {status, requestId};
+		return {...received, requestId};
 	}
 
 	/** Waits until the requests of a crowd were answered by the servers, or the number of answers no longer grows. */
@@ -248,46 +259,17 @@
 			port: backendServer!,
 			failureDomain: 'a',
 			nodeAddress: `127.0.0.1:${announcements}`,
-			slots: 8,
+			slots: this.#opts.slots ?? 8,
 			queueLength: 24,
 			heartbeatIntervalMs: 500,
 			leaseFactor: 1,
 			random: createSystemRandom(),
-			generateWorkMs: () => 5,
+			generateWorkMs: () => this.#opts.workMs ?? 5,
 			...this.#opts.getReadingPace !== undefined && {getReadingPace: this.#opts.getReadingPace},
+			...this.#opts.getEndlessAnswer !== undefined && {getEndlessAnswer: this.#opts.getEndlessAnswer},
 			createAnswer: this.#opts.createAnswer ?? (requestId => `answer to ${requestId}`),
 		});
 		this.#backends.push(backend);
 		await backend.start();
 	}
 }
-
-type SentRequest = {readonly method: string; readonly path: string; readonly headers: Readonly<Record<string, string>>; readonly body?: Uint8Array};
-
-/** Sends a request on a connection of its own. The status is 0 if the connection ended without a complete answer. */
-async function sendRequest(address: string, {method, path, headers, body}: SentRequest): Promise<{readonly status: number}> {
-	const [host, port] = address.split(':');
-	return new Promise(resolve => {
-		const call = request({
-			host, port, method, path, headers, agent: false,
-		}, response => {
-			response.resume();
-			response.on('close', () => {
-				resolve({status: response.complete ? response.statusCode ?? 0 : 0});
-			});
-		});
-		call.on('error', () => {
-			resolve({status: 0});
-		});
-		call.end(body);
-	});
-}
-
-async function findFreePort(): Promise<number> {
-	const server = createServer();
-	server.listen(0, '127.0.0.1');
-	await once(server, 'listening');
-	const address = server.address();
-	server.close();
-	return typeof address === 'object' && address !== null ? address.port : 0;
-}
