fix: believe neither of two different values of a server's header

An answer with two request ids was taken for the answer to the last of them, so that a mix of two answers reached a caller. The same held for a limit, a retry time or a leave that came twice. Cause: of the lines of a field only the last counted.

--- a/node/backend-link/test/broken-answers.test.ts
+++ b/node/backend-link/test/broken-answers.test.ts
@@ -95,3 +95,11 @@
 		}
 	});
 }
+
+test('an answer that names two requests reaches the caller of neither', async t => {
+	const gate = await openGate(t, (socket, request) => {
+		const {requestId = ''} = readRequestHead(request);
+		socket.end(formatAnswer('other', 'body', {headers: `Buckthornpoint-Request-Id: ${requestId}\r\n`}));
+	});
+	assert.deepEqual(await run(gate, 'a'), {kind: 'unknown', reason: 'connection-lost'});
+});
