fix: pass on no status outside of 200 to 599 from another node

While nodes of two versions run, one of the earlier version may pass on an answer with a status from 600 on, which its server sent. The entry node wrote it to the caller. It is answered with 502 now, as other answers that can't be passed on: the request may have run. Frames between nodes have lengths and carry parsed fields, which the writer of the answer checks already, so that nothing else of an answer can be spoilt on this way.

Test: caller-answers.test.ts, four statuses; 199, 600 and 999 failed before.

--- a/node/ingress/src/write-answer.ts
+++ b/node/ingress/src/write-answer.ts
@@ -20,6 +20,10 @@
 	readonly mustClose: boolean;
 };
 
+/** Final statuses (RFC 9110, section 15). A node of an earlier version passes on others as its server sent them. */
+const firstFinalStatus = 200;
+const lastStatus = 599;
+
 const statusNoContent = 204;
 const statusNotModified = 304;
 
@@ -31,6 +35,11 @@
 		return true;
 	}
 
+	if (status < firstFinalStatus || status > lastStatus) {
+		releaseBody(body);
+		return false;
+	}
+
 	const isLastAnswer = connections.isLastAnswer(socket);
 	if (!isFramed && !isLastAnswer) {
 		releaseBody(body);
--- a/node/ingress/test/caller-answers.test.ts
+++ b/node/ingress/test/caller-answers.test.ts
@@ -104,6 +104,18 @@
 	assert.match(Buffer.concat(fixture.received).toString('latin1'), /^HTTP\/1.1 502 /v, String(thrown));
 });
 
+for (const status of [0, 199, 600, 999]) {
+	test(`a caller whose answer has the status ${status}, passed on by a node of an earlier version, gets a 502 instead`, async t => {
+		const fixture = await openFixture(t);
+		readAnswers(fixture);
+		fixture.send('id-1');
+		await waitForStarted(fixture, 1);
+		fixture.finishes.get('id-1')?.({status});
+		await waitForClose(fixture, 300);
+		assert.match(Buffer.concat(fixture.received).toString('latin1'), /^HTTP\/1.1 502 /v);
+	});
+}
+
 test('pipelined requests that were started are all answered before a planned stop closes their connection', async t => {
 	const fixture = await openFixture(t);
 	const {server, clock, finishes} = fixture;
