feat: log what was wrong with a server's answer

A broken answer ended as 'connection-lost' and nobody could see why. The node of the server logs 'server-answer-invalid' with the id of the request and what the bytes broke. Reasons and statuses stay as they are. broken-answers.test.ts expects the report once for each row that doesn't need the end of the connection; the head of a request is encoded in a file of its own.

--- a/node/backend-link/src/backend-connection.ts
+++ b/node/backend-link/src/backend-connection.ts
@@ -8,6 +8,7 @@
 import {ResponseParser, type ParsedResponse} from '@buckthornpoint/http1/response-parser.js';
 import {verifyEnd} from '@buckthornpoint/http1/verify-end.js';
 import type {EvaluatedAnswer} from './classify-response.js';
+import {encodeRequestHead} from './encode-request-head.js';
 
 /** The result of one request on a connection. */
 export type Exchange
@@ -36,6 +37,8 @@
 	readonly memoryLimit: AnswerMemoryLimit;
 	/** The memory for the bodies of answers; without a limit by default. */
 	readonly memory?: BodyMemory;
+	/** Called when bytes in place of the answer to a request were no answer, with what was wrong. */
+	readonly onInvalidAnswer?: (requestId: string, problem: string) => void;
 	/** Called once, when the connection is closed. */
 	readonly onClose: (connection: BackendConnection) => void;
 };
@@ -157,7 +160,7 @@
 
 	#write(request: BackendRequest): void {
 		const {body} = request;
-		const head = encodeHead(request);
+		const head = encodeRequestHead(request);
 		if (body instanceof BodyBlocks) {
 			this.#socket.write(head);
 			body.writeTo(this.#socket);
@@ -180,7 +183,7 @@
 				response = this.#parser.read(undefined, method);
 			}
 		} catch (error) {
-			this.#fail(error instanceof Error ? error.message : String(error));
+			this.#failInvalid(error);
 		}
 	}
 
@@ -252,10 +255,19 @@
 
 			this.#fail('the backend server ended the connection');
 		} catch (error) {
-			this.#fail(error instanceof Error ? error.message : String(error));
+			this.#failInvalid(error);
 		}
 	}
 
+	#failInvalid(error: unknown): void {
+		const problem = error instanceof Error ? error.message : String(error);
+		if (this.#pending !== undefined) {
+			this.#opts.onInvalidAnswer?.(this.#pending.requestId, problem);
+		}
+
+		this.#fail(problem);
+	}
+
 	#fail(reason: string, isRefused = false): void {
 		const pending = this.#pending;
 		const wasSent = this.#unsentRequest === undefined;
@@ -274,17 +286,3 @@
 		}
 	}
 }
-
-function encodeHead({method, path, headers, body}: BackendRequest): Buffer {
-	let head = `${method} ${path} HTTP/1.1\r\n`;
-	for (let index = 0; index + 1 < headers.length; index += 2) {
-		head += `${headers[index]!}: ${headers[index + 1]!}\r\n`;
-	}
-
-	if (body.length > 0 || method === 'POST' || method === 'PUT' || method === 'PATCH') {
-		head += `Content-Length: ${body.length}\r\n`;
-	}
-
-	head += '\r\n';
-	return Buffer.from(head, 'latin1');
-}
--- a/node/backend-link/src/backend-gate-opts.ts
+++ b/node/backend-link/src/backend-gate-opts.ts
@@ -13,6 +13,8 @@
 	readonly isHeld: (key: number) => boolean;
 	/** Called when no process listens at the server's address: the server instance has ended. */
 	readonly onServerEnded: () => void;
+	/** Called when bytes in place of the answer to a request were no answer, with what was wrong. */
+	readonly onInvalidAnswer?: (requestId: string, problem: string) => void;
 	/** Called with each answer that reports how long the server stays cold. */
 	readonly onCold: (coldMs: number) => void;
 	/** Called when the server starts, changes or stops advertising a request limit, and with the rate that was sent to it last. */
--- a/node/backend-link/src/backend-gate.ts
+++ b/node/backend-link/src/backend-gate.ts
@@ -289,6 +289,7 @@
 			readNowMs: () => this.#readNowMs(),
 			evaluateAnswer,
 			...this.#opts.memory !== undefined && {memory: this.#opts.memory},
+			...this.#opts.onInvalidAnswer !== undefined && {onInvalidAnswer: this.#opts.onInvalidAnswer},
 		});
 		return this.#pool;
 	}
--- a/node/backend-link/src/backend-pool.ts
+++ b/node/backend-link/src/backend-pool.ts
@@ -4,7 +4,7 @@
 } from './backend-connection.js';
 
 /** Address of the backend server, and the check that assigns answers to requests. */
-export type BackendPoolOpts = Pick<BackendConnectionOpts, 'host' | 'port' | 'evaluateAnswer' | 'memory'> & {
+export type BackendPoolOpts = Pick<BackendConnectionOpts, 'host' | 'port' | 'evaluateAnswer' | 'memory' | 'onInvalidAnswer'> & {
 	/** Reads a monotonic clock. */
 	readonly readNowMs: () => number;
 };
--- a/node/backend-link/test/broken-answers.test.ts
+++ b/node/backend-link/test/broken-answers.test.ts
@@ -14,7 +14,10 @@
 
 const remainingMs = 5000;
 
-async function openGate(t: TestContext, answer: RawAnswer): Promise<BackendGate> {
+type OpenedGate = {readonly gate: BackendGate; readonly problems: string[]};
+
+async function openGate(t: TestContext, answer: RawAnswer): Promise<OpenedGate> {
+	const problems: string[] = [];
 	const server = await openRawServer(answer);
 	const gate = new BackendGate({
 		host: '127.0.0.1',
@@ -22,6 +25,9 @@
 		clock: new SystemClock(),
 		isHeld: () => true,
 		onServerEnded: () => undefined,
+		onInvalidAnswer(requestId, problem) {
+			problems.push(`${requestId}: ${problem}`);
+		},
 		onCold: () => undefined,
 		onLimitChange: () => undefined,
 		onLeaving: () => undefined,
@@ -33,7 +39,7 @@
 		gate.close();
 		server.close();
 	});
-	return gate;
+	return {gate, problems};
 }
 
 async function run(gate: BackendGate, requestId: string): Promise<Outcome> {
@@ -55,7 +61,7 @@
 
 for (const {name, format, needsEnd} of departures) {
 	test(`${name}: the request has no answer and may have run`, async t => {
-		const gate = await openGate(t, (socket, request) => {
+		const {gate} = await openGate(t, (socket, request) => {
 			const bytes = format(formatFields(request));
 			socket.end(bytes, 'latin1');
 		});
@@ -63,7 +69,7 @@
 	});
 
 	test(`${name}, in a refusal: it does not prove that the request did not run`, async t => {
-		const gate = await openGate(t, (socket, request) => {
+		const {gate} = await openGate(t, (socket, request) => {
 			const bytes = format(formatFields(request) + refusalField);
 			socket.end(bytes, 'latin1');
 		});
@@ -72,15 +78,17 @@
 
 	if (needsEnd !== true) {
 		test(`${name}, on a connection that stays open: the caller does not wait for its deadline`, async t => {
-			const gate = await openGate(t, (socket, request) => socket.write(format(formatFields(request)), 'latin1'));
+			const {gate, problems} = await openGate(t, (socket, request) => socket.write(format(formatFields(request)), 'latin1'));
 			assert.deepEqual(await run(gate, 'a'), {kind: 'unknown', reason: 'connection-lost'});
+			assert.equal(problems.length, 1);
+			assert.match(problems[0] ?? '', /^a: /v);
 		});
 	}
 }
 
 for (const legal of legalAnswers) {
 	test(`a legal answer is served: ${legal.name}`, async t => {
-		const gate = await openGate(t, (socket, request) => {
+		const {gate} = await openGate(t, (socket, request) => {
 			const bytes = legal.format(formatFields(request));
 			if (legal.endsConnection) {
 				socket.end(bytes, 'latin1');
@@ -97,7 +105,7 @@
 }
 
 test('an answer that names two requests reaches the caller of neither', async t => {
-	const gate = await openGate(t, (socket, request) => {
+	const {gate} = await openGate(t, (socket, request) => {
 		const {requestId = ''} = readRequestHead(request);
 		socket.end(formatAnswer('other', 'body', {headers: `Buckthornpoint-Request-Id: ${requestId}\r\n`}));
 	});
--- a/node/log/src/events.ts
+++ b/node/log/src/events.ts
@@ -24,6 +24,7 @@
 			readonly retryAfterMs: number; readonly isPromised: boolean;
 		}
 		| {readonly event: 'owner-lost'; readonly requestId: string; readonly service: string; readonly key: number | undefined; readonly reason: string}
+		| {readonly event: 'server-answer-invalid'; readonly requestId: string; readonly message: string}
 		| {readonly event: 'control-event'; readonly kind: string; readonly detail: string}
 		| {readonly event: 'store-lost'; readonly by: string; readonly message: string}
 		| {readonly event: 'store-regained'; readonly by: string; readonly awayMs: number}
@@ -87,6 +88,7 @@
 	'request-cancelled': 'debug',
 	'owner-refused': 'info',
 	'owner-lost': 'warn',
+	'server-answer-invalid': 'warn',
 	'control-event': 'info',
 	'store-lost': 'warn',
 	'store-regained': 'info',
--- a/node/mesh-daemon/src/mesh-node.ts
+++ b/node/mesh-daemon/src/mesh-node.ts
@@ -103,7 +103,7 @@
 		this.#watch = new BackendWatch({
 			settings, timeouts: this.#timeouts, clock: opts.clock, leaseClock: this.#leaseClock, view: this.#view, log: opts.log, onChange: requestHeartbeat,
 		});
-		this.#gate = createGate(settings, opts.clock, this.#watch, this.#memory);
+		this.#gate = createGate(settings, this.#watch, {clock: opts.clock, log: opts.log, memory: this.#memory});
 		this.#links = createPeerLinks(opts.incarnation, {...opts, memory: this.#memory});
 		this.#peers = this.#createPeerServer();
 		this.#router = new RequestRouter({
--- a/node/mesh-daemon/test/answer-state.test.ts
+++ b/node/mesh-daemon/test/answer-state.test.ts
@@ -211,7 +211,7 @@
 		},
 	});
 	watch.recordLeaves([]);
-	const gate = createGate(ownSettings, clock, watch);
+	const gate = createGate(ownSettings, watch, {clock, log: new SilentLog()});
 	t.after(() => {
 		gate.close();
 	});
--- a/node/mesh-daemon/test/backend-watch.test.ts
+++ b/node/mesh-daemon/test/backend-watch.test.ts
@@ -84,7 +84,7 @@
 test('only a node that balances by rate reports the rate of its server, rounded: others send what they always sent', t => {
 	for (const [balance, expected] of [['usual', undefined], ['by-rate', 41.3]] as const) {
 		const {watch, clock} = createWatch({balance});
-		const gate = createGate(settings, clock, watch);
+		const gate = createGate(settings, watch, {clock, log: new SilentLog()});
 		t.after(() => {
 			gate.close();
 		});
@@ -114,7 +114,7 @@
 test('a restarted node sends nothing to its server in a failure domain that was evacuated before the start', t => {
 	for (const [isOrderedLater, reason] of [[false, 'evacuated'], [true, undefined]] as const) {
 		const {watch, view, clock} = createWatch();
-		const gate = createGate(settings, clock, watch);
+		const gate = createGate(settings, watch, {clock, log: new SilentLog()});
 		t.after(() => {
 			gate.close();
 		});
@@ -166,7 +166,7 @@
 	]) {
 		const fixture = createWatch({isLookedUp: false});
 		const {watch, view, clock} = fixture;
-		const gate = createGate(settings, clock, watch);
+		const gate = createGate(settings, watch, {clock, log: new SilentLog()});
 		t.after(() => {
 			gate.close();
 		});
