--- a/wire/http1/src/field-lines.ts
+++ b/wire/http1/src/field-lines.ts
@@ -31,18 +31,17 @@
 export function removeOuterBlanks(text: string, from = 0): string {
 	let start = from;
 	let end = text.length;
-	while (start < end && isBlank(text, start)) {
+	while (start < end && isBlank(text.charCodeAt(start))) { // eslint-disable-line unicorn/prefer-code-point -- the text holds bytes
 		start++;
 	}
 
-	while (end > start && isBlank(text, end - 1)) {
+	while (end > start && isBlank(text.charCodeAt(end - 1))) { // eslint-disable-line unicorn/prefer-code-point -- the text holds bytes
 		end--;
 	}
 
 	return text.slice(start, end);
 }
 
-function isBlank(text: string, index: number): boolean {
-	const code = text.charCodeAt(index); // eslint-disable-line unicorn/prefer-code-point -- the text holds bytes
+function isBlank(code: number): boolean {
 	return code === space || code === tab;
 }
--- a/wire/http1/src/response-head.ts
+++ b/wire/http1/src/response-head.ts
@@ -20,9 +20,6 @@
 /** The values of all lines of the fields that give the length of a body, and the version. */
 type FramingFields = {readonly lengths: readonly string[]; readonly codings: readonly string[]; readonly isVersion10: boolean};
 
-/** The fields that say how an answer and its connection end. */
-const endFieldNames = ['content-length', 'transfer-encoding', 'connection', 'keep-alive'] as const;
-
 const statusLine = /^HTTP\/1\.([01]) ([1-5]\d{2}) [\t\u0020-\u007E\u0080-\u00FF]*$/v;
 const decimal = /^\d+$/v;
 const leadingZeros = /^0+(?=\d)/v;
@@ -53,14 +50,12 @@
 	const [first = '', ...lines] = text.split('\r\n');
 	const {status, isVersion10} = parseStatusLine(first);
 	const headers: string[] = [];
-	const values: ReadonlyMap<string, string[]> = new Map(endFieldNames.map(name => [name, []]));
 	for (const line of lines) {
 		const [name, value] = parseFieldLine(line);
 		headers.push(name, value);
-		values.get(name.toLowerCase())?.push(value);
 	}
 
-	const list = (name: typeof endFieldNames[number]): readonly string[] => values.get(name) ?? [];
+	const list = (name: string): readonly string[] => listValues(headers, name);
 	return {
 		status,
 		headers,
@@ -70,6 +65,19 @@
 	};
 }
 
+/** Lists the values of all lines of a field. */
+function listValues(headers: RawFields, lowerCaseName: string): readonly string[] {
+	const values: string[] = [];
+	for (let index = 0; index + 1 < headers.length; index += 2) {
+		const name = headers[index]!;
+		if (name.length === lowerCaseName.length && name.toLowerCase() === lowerCaseName) {
+			values.push(headers[index + 1]!);
+		}
+	}
+
+	return values;
+}
+
 /** Follows RFC 9112, section 6.3. Throws if the fields are invalid or contradict each other, also where the answer has no body. */
 function chooseFraming(status: number, method: string, {lengths, codings, isVersion10}: FramingFields): Framing {
 	const length = parseLength(lengths);
