fix: serve an answer whose server ends its side and reads no further

Since the end of a connection is verified by a write behind the pending ones, an answer without a length waited for its deadline, and was lost, if its server ended its side in good order but kept the connection without reading the rest of the request. Nothing on such a connection fails, so the answer is legal.

--- a/node/backend-link/src/backend-connection.ts
+++ b/node/backend-link/src/backend-connection.ts
@@ -146,6 +146,7 @@
 
 	#handleConnect(): void {
 		this.#socket.setTimeout(0);
+		this.#socket.removeAllListeners('timeout');
 		this.#isConnected = true;
 		if (this.#unsentRequest !== undefined) {
 			this.#write(this.#unsentRequest);
--- a/node/backend-link/test/connection-end.test.ts
+++ b/node/backend-link/test/connection-end.test.ts
@@ -86,10 +86,10 @@
 	return outcome;
 }
 
-async function runAll(t: TestContext, endConnection: EndConnection, bytes: number): Promise<readonly string[]> {
+async function runAll(t: TestContext, endConnection: EndConnection, bytes: number, count = repetitions): Promise<readonly string[]> {
 	const fixture = await openFixture(t, endConnection);
 	const kinds: string[] = [];
-	for (let index = 0; index < repetitions; index++) {
+	for (let index = 0; index < count; index++) {
 		const outcome = await run(fixture, `r-${index}`, bytes);
 		kinds.push(outcome.kind === 'answer' ? `answer ${String(outcome.body)}` : `${outcome.kind} ${outcome.reason}`);
 	}
@@ -147,3 +147,9 @@
 	}, 8_000_000);
 	assert.deepEqual(kinds, ['unknown connection-lost']);
 });
+
+test('the server ends its side, reads no further and keeps the connection: an answer without a length is complete, before the deadline', async t => {
+	for (const bytes of uploadBytes) {
+		assert.deepEqual(await runAll(t, socket => socket.end(), bytes, 10), [`answer ${part}`], `${bytes} bytes`);
+	}
+});
