--- a/node/backend-link/test/broken-answers.test.ts
+++ b/node/backend-link/test/broken-answers.test.ts
@@ -6,49 +6,31 @@
 import {departures} from '@buckthornpoint/answers/departures.js';
 import {legalAnswers} from '@buckthornpoint/answers/legal-answers.js';
 import {openRawServer, type RawAnswer} from '@buckthornpoint/answers/raw-server.js';
-import {SystemClock} from '@buckthornpoint/clock/system-clock.js';
-import {createCallerHeaders, formatAnswer, readRequestHead} from '@buckthornpoint/fleet-stand-in/stand-in-messages.js';
-import {formatBackendInstanceKey} from '@buckthornpoint/key-ranges/key-ranges.js';
-import {BackendGate} from '../src/backend-gate.js';
+import {formatAnswer, readRequestHead} from '@buckthornpoint/fleet-stand-in/stand-in-messages.js';
+import type {BackendGate} from '../src/backend-gate.js';
 import type {Outcome} from '../src/outcome.js';
+import {openGate, sendRequest} from './open-gate.js';
 
 const remainingMs = 5000;
 
-type OpenedGate = {readonly gate: BackendGate; readonly problems: string[]};
+type Fixture = {readonly gate: BackendGate; readonly problems: string[]};
 
-async function openGate(t: TestContext, answer: RawAnswer): Promise<OpenedGate> {
+async function openFixture(t: TestContext, answer: RawAnswer): Promise<Fixture> {
 	const problems: string[] = [];
 	const server = await openRawServer(answer);
-	const gate = new BackendGate({
-		host: '127.0.0.1',
-		port: server.port,
-		clock: new SystemClock(),
-		isHeld: () => true,
-		onServerEnded: () => undefined,
+	t.after(() => {
+		server.close();
+	});
+	const gate = openGate(t, server.port, {
 		onInvalidAnswer(requestId, problem) {
 			problems.push(`${requestId}: ${problem}`);
 		},
-		onCold: () => undefined,
-		onLimitChange: () => undefined,
-		onLeaving: () => undefined,
-	});
-	gate.setBackend({
-		id: 'i-1', key: formatBackendInstanceKey('i-1', 1), service: 'sklad', slots: 2, isDivided: false, coldPerS: undefined,
-	});
-	t.after(() => {
-		gate.close();
-		server.close();
 	});
 	return {gate, problems};
 }
 
 async function run(gate: BackendGate, requestId: string): Promise<Outcome> {
-	return new Promise(resolve => {
-		gate.admit({
-			requestId, method: 'GET', path: '/x', headers: Object.entries(createCallerHeaders(requestId)).flat(), body: new Uint8Array(), key: undefined, service: 'sklad', route: 'r',
-			callerService: 'other', priority: 1, isIdempotent: false, mayWait: true, remainingMs, targetMs: remainingMs, lateMs: remainingMs,
-		}, resolve);
-	});
+	return sendRequest(gate, {requestId, body: new Uint8Array(), remainingMs});
 }
 
 /** The field lines that a server's own answer to a request has. */
@@ -61,7 +43,7 @@
 
 for (const {name, format, needsEnd} of departures) {
 	test(`${name}: the request has no answer and may have run`, async t => {
-		const {gate} = await openGate(t, (socket, request) => {
+		const {gate} = await openFixture(t, (socket, request) => {
 			const bytes = format(formatFields(request));
 			socket.end(bytes, 'latin1');
 		});
@@ -69,7 +51,7 @@
 	});
 
 	test(`${name}, in a refusal: it does not prove that the request did not run`, async t => {
-		const {gate} = await openGate(t, (socket, request) => {
+		const {gate} = await openFixture(t, (socket, request) => {
 			const bytes = format(formatFields(request) + refusalField);
 			socket.end(bytes, 'latin1');
 		});
@@ -78,7 +60,7 @@
 
 	if (needsEnd !== true) {
 		test(`${name}, on a connection that stays open: the caller does not wait for its deadline`, async t => {
-			const {gate, problems} = await openGate(t, (socket, request) => socket.write(format(formatFields(request)), 'latin1'));
+			const {gate, problems} = await openFixture(t, (socket, request) => socket.write(format(formatFields(request)), 'latin1'));
 			assert.deepEqual(await run(gate, 'a'), {kind: 'unknown', reason: 'connection-lost'});
 			assert.equal(problems.length, 1);
 			assert.match(problems[0] ?? '', /^a: /v);
@@ -88,7 +70,7 @@
 
 for (const legal of legalAnswers) {
 	test(`a legal answer is served: ${legal.name}`, async t => {
-		const {gate} = await openGate(t, (socket, request) => {
+		const {gate} = await openFixture(t, (socket, request) => {
 			const bytes = legal.format(formatFields(request));
 			if (legal.endsConnection) {
 				socket.end(bytes, 'latin1');
@@ -105,7 +87,7 @@
 }
 
 test('an answer that names two requests reaches the caller of neither', async t => {
-	const {gate} = await openGate(t, (socket, request) => {
+	const {gate} = await openFixture(t, (socket, request) => {
 		const {requestId = ''} = readRequestHead(request);
 		socket.end(formatAnswer('other', 'body', {headers: `Buckthornpoint-Request-Id: ${requestId}\r\n`}));
 	});
--- a/node/backend-link/test/connection-end.test.ts
+++ b/node/backend-link/test/connection-end.test.ts
@@ -8,11 +8,11 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {MemoryBudget} from '@buckthornpoint/admission/memory-budget.js';
 import {SystemClock} from '@buckthornpoint/clock/system-clock.js';
-import {createCallerHeaders, formatAnswer, readRequestHead} from '@buckthornpoint/fleet-stand-in/stand-in-messages.js';
+import {formatAnswer, readRequestHead} from '@buckthornpoint/fleet-stand-in/stand-in-messages.js';
 import {BodyMemory, type Body} from '@buckthornpoint/frames/body-blocks.js';
-import {formatBackendInstanceKey} from '@buckthornpoint/key-ranges/key-ranges.js';
-import {BackendGate} from '../src/backend-gate.js';
+import type {BackendGate} from '../src/backend-gate.js';
 import type {Outcome} from '../src/outcome.js';
+import {openGate, sendRequest} from './open-gate.js';
 
 /** Lengths of the uploads: none, one segment, more than one read of the server, and more than the kernel buffers. */
 const uploadBytes = [0, 1000, 200_000, 2_000_000, 8_000_000];
@@ -43,22 +43,8 @@
 	const address = server.address();
 	const clock = new SystemClock();
 	const memory = new BodyMemory(new MemoryBudget({limitBytes: 64 * 1024 * 1024, largestBytes: 16 * 1024 * 1024}), () => clock.readTimestamp().monotonicMs);
-	const gate = new BackendGate({
-		host: '127.0.0.1',
-		port: typeof address === 'object' ? address?.port ?? 0 : 0,
-		clock,
-		memory,
-		isHeld: () => true,
-		onServerEnded: () => undefined,
-		onCold: () => undefined,
-		onLimitChange: () => undefined,
-		onLeaving: () => undefined,
-	});
-	gate.setBackend({
-		id: 'i-1', key: formatBackendInstanceKey('i-1', 1), service: 'sklad', slots: 2, isDivided: false, coldPerS: undefined,
-	});
+	const gate = openGate(t, typeof address === 'object' ? address?.port ?? 0 : 0, {memory});
 	t.after(() => {
-		gate.close();
 		server.close();
 	});
 	return {gate, memory};
@@ -73,12 +59,7 @@
 
 async function run({gate, memory}: Fixture, requestId: string, bytes: number): Promise<Outcome> {
 	const body = bytes > 0 ? createBody(memory, bytes) : Buffer.alloc(0);
-	const outcome = await new Promise<Outcome>(resolve => {
-		gate.admit({
-			requestId, method: 'POST', path: '/x', headers: Object.entries(createCallerHeaders(requestId)).flat(), body, key: undefined, service: 'sklad', route: 'r',
-			callerService: 'other', priority: 1, isIdempotent: false, mayWait: true, remainingMs, targetMs: remainingMs, lateMs: remainingMs,
-		}, resolve);
-	});
+	const outcome = await sendRequest(gate, {requestId, body, remainingMs});
 	if (!(body instanceof Buffer) && 'release' in body) {
 		body.release();
 	}
