fix: release what was read of an answer without a length when its connection fails

A node lost memory for bodies for good with each large answer without a length that was not completed: at a limit, at the deadline or by a reset. 1 MB in 5 answers left 5 MiB of the budget in use; a server that sends such bodies without end used it up, after which bodies are refused.

Cause: the parser had one call for the regular end and for discarding. After a failure it completed the answer once more, and the blocks of its body, which the receiver of an answer releases, had no receiver.

Change: completeAtEnd returns the answer after a regular end, close discards.

The two tests of response-parser.test.ts that ended a connection call completeAtEnd now; what they check is the same.

--- a/node/backend-link/src/backend-connection.ts
+++ b/node/backend-link/src/backend-connection.ts
@@ -248,7 +248,7 @@
 	}
 
 	#completeAtEnd(): void {
-		const response = this.#pending === undefined ? undefined : this.#parser.close();
+		const response = this.#pending === undefined ? undefined : this.#parser.completeAtEnd();
 		try {
 			if (response !== undefined && this.#handleResponse(response)) {
 				return;
--- a/node/backend-link/test/connection-end.test.ts
+++ b/node/backend-link/test/connection-end.test.ts
@@ -134,3 +134,19 @@
 		assert.deepEqual(await runAll(t, socket => socket.end(), bytes, 10), [`answer ${part}`], `${bytes} bytes`);
 	}
 });
+
+test('a large part of an answer without a length leaves no memory behind when the connection is reset', async t => {
+	const large = 'a'.repeat(1_000_000);
+	const fixture = await openFixture(t, socket => {
+		socket.write(large, () => {
+			setTimeout(() => {
+				socket.resetAndDestroy();
+			}, 5);
+		});
+	});
+	for (let index = 0; index < 5; index++) {
+		assert.deepEqual(await run(fixture, `r-${index}`, 0), {kind: 'unknown', reason: 'connection-lost'});
+	}
+
+	assert.equal(fixture.memory.budget.usedBytes, 0);
+});
--- a/wire/http1/src/checked-socket.ts
+++ b/wire/http1/src/checked-socket.ts
@@ -104,7 +104,7 @@
 		}
 
 		verifyEnd(this.#socket, error => {
-			const response = error === undefined ? this.#parser.close() : undefined;
+			const response = error === undefined ? this.#parser.completeAtEnd() : undefined;
 			if (response === undefined) {
 				this.#fail(new Error('the connection failed before the end of the answer', {cause: error}));
 			} else {
--- a/wire/http1/src/response-parser.ts
+++ b/wire/http1/src/response-parser.ts
@@ -1,15 +1,15 @@
 import {Buffer} from 'node:buffer';
 import type {Body, BodyMemory} from '@buckthornpoint/frames/body-blocks.js';
-import {ChunkedBody} from './chunked-body.js';
 import {AnswerMemoryLimit} from './answer-memory-limit.js';
 import {
 	createTooLongError, FixedLengthBody, CloseDelimitedBody, type BodyOpts, type BodyReader,
 } from './body-reader.js';
+import {ChunkedBody} from './chunked-body.js';
 import {
 	isInterim, parseHead, parseStatusLine, type ResponseHead,
 } from './response-head.js';
 
-/** A complete answer of a backend server. */
+/** A complete answer. */
 export type ParsedResponse = {
 	readonly status: number;
 	/** Name, value, name, value, as received. */
@@ -89,12 +89,15 @@
 		return this.#readBody(this.#head, this.#body!);
 	}
 
-	/** Handles the regular end of the connection, or its failure after the answer. Returns the answer that is delimited by the end, if any. */
-	close(): ParsedResponse | undefined {
-		const response = this.#head !== undefined && this.#body?.isCompleteAtEnd() === true ? this.#complete(this.#head, this.#body) : undefined;
+	/** Returns the answer that the regular end of the connection completes; undefined if there is none. */
+	completeAtEnd(): ParsedResponse | undefined {
+		return this.#head !== undefined && this.#body?.isCompleteAtEnd() === true ? this.#complete(this.#head, this.#body) : undefined;
+	}
+
+	/** Discards what was read of an incomplete answer. */
+	close(): void {
 		this.#body?.close();
 		this.#body = undefined;
-		return response;
 	}
 
 	#readHead(method: string): ResponseHead | undefined {
--- a/wire/http1/test/response-parser.test.ts
+++ b/wire/http1/test/response-parser.test.ts
@@ -29,7 +29,7 @@
 test('an answer without a length is complete only when the server ends the connection', () => {
 	const parser = new ResponseParser();
 	assert.equal(parser.read(Buffer.from(unframed), 'GET'), undefined);
-	const response = parser.close();
+	const response = parser.completeAtEnd();
 	assert.equal(response?.body.toString(), 'hello');
 	assert.equal(response.isKeptAlive, false);
 	assert.equal(response.isFramed, false);
@@ -39,7 +39,7 @@
 	for (const text of [framed, chunked]) {
 		const parser = new ResponseParser();
 		assert.equal(parser.read(Buffer.from(text.slice(0, -3)), 'GET'), undefined);
-		assert.equal(parser.close(), undefined);
+		assert.equal(parser.completeAtEnd(), undefined);
 	}
 });
 
