fix: take no answer that other bytes than a further answer follow

A length that is spoilt but still a number, and shorter than the body, cut the body; the caller got the part as a complete answer. The rest of the body lay behind it on the connection, which was closed for it. The same held for bytes after the last chunk, and for a body where the status allows none.

Cause: surplus bytes counted against the connection alone. RFC 9112, section 6.3 says that they may belong to the body before them, if its length is wrong.

Change: what follows an answer in the same read must be the start of another one, as the extra answers of a server are; those are dropped as before. Bytes that come in a later read close the connection, as before: the answer has been passed on by then.

--- a/stand-ins/answers/src/legal-answers.ts
+++ b/stand-ins/answers/src/legal-answers.ts
@@ -82,6 +82,8 @@
 	['204', 'HTTP/1.1 204 No Content\r\n*\r\n', {status: 204, body: ''}],
 	['304 with the length of the content that it leaves out', 'HTTP/1.1 304 Not Modified\r\n*Content-Length: 4\r\n\r\n', {status: 304, body: ''}],
 	['304 with a transfer coding', 'HTTP/1.1 304 Not Modified\r\n*Transfer-Encoding: chunked\r\n\r\n', {status: 304, body: ''}],
+	['a surplus answer', 'HTTP/1.1 200 OK\r\n*Content-Length: 4\r\n\r\nbodyHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nextra'],
+	['the beginning of a surplus answer', 'HTTP/1.1 200 OK\r\n*Content-Length: 4\r\n\r\nbodyHTT'],
 	['a length of 0', 'HTTP/1.1 200 OK\r\n*Content-Length: 0\r\n\r\n', {body: ''}],
 	['an end of the connection after the body', 'HTTP/1.1 200 OK\r\n*Connection: close\r\nContent-Length: 4\r\n\r\nbody', {endsConnection: true}],
 ], bytes => fields => bytes.replace('*', () => fields));
--- a/wire/http1/src/response-parser.ts
+++ b/wire/http1/src/response-parser.ts
@@ -121,6 +121,11 @@
 	#readBody(head: ResponseHead, body: BodyReader): ParsedResponse | undefined {
 		const {rest, isComplete} = body.read(this.#bytes);
 		this.#bytes = rest;
+		if (isComplete) {
+			// Other bytes than a further answer belong to this one, whose length is wrong (RFC 9112, section 6.3).
+			checkStart(rest);
+		}
+
 		return isComplete ? this.#complete(head, body) : undefined;
 	}
 
@@ -159,13 +164,17 @@
 	}
 }
 
-/** Throws if the bytes that were received so far can't be the start of an answer, so that nobody waits for the rest of a broken one. */
-function checkIncompleteHead(bytes: Buffer): void {
+/** Throws if the bytes can't be the start of an answer. */
+function checkStart(bytes: Buffer): void {
 	const start = bytes.toString('latin1', 0, Math.min(bytes.length, versionPrefix.length));
 	if (!versionPrefix.startsWith(start)) {
 		throw new Error('the received bytes are not an HTTP/1.1 answer');
 	}
+}
 
+/** Throws if the bytes that were received so far can't be the start of an answer, so that nobody waits for the rest of a broken one. */
+function checkIncompleteHead(bytes: Buffer): void {
+	checkStart(bytes);
 	const length = bytes.indexOf(lineEnd);
 	if (length !== -1) {
 		parseStatusLine(bytes.toString('latin1', 0, length));
