fix: let an answer be as long as its client allows

The older daemon's stores allow answers of 64 MiB, but a connection of the HTTP library refused them from 48 MiB on: without a limit that is shared, each parser had the one that holds for all incomplete answers of a backend server. Found by reading. Without a shared limit a parser now has that of one body. Test: checked-pool.test.ts, 50 MiB and a byte more; the first failed before.

--- a/wire/http1/src/response-parser.ts
+++ b/wire/http1/src/response-parser.ts
@@ -26,7 +26,7 @@
 
 /** Limits of what is held of incomplete answers. */
 export type ParserOpts = {
-	/** Shared by the connections to one server. */
+	/** Shared by the connections to one server; without one, each connection may hold one body. */
 	readonly memoryLimit?: AnswerMemoryLimit;
 	/** Large bodies are held in its blocks. */
 	readonly memory?: BodyMemory | undefined;
@@ -53,7 +53,7 @@
 	/** Length of the heads read so far for the present answer. */
 	#headBytes = 0;
 
-	constructor({memoryLimit = new AnswerMemoryLimit(), memory, maxBodyBytes = defaultMaxBodyBytes}: ParserOpts = {}) {
+	constructor({memory, maxBodyBytes = defaultMaxBodyBytes, memoryLimit = new AnswerMemoryLimit(maxBodyBytes)}: ParserOpts = {}) {
 		this.#bodyOpts = {memoryLimit, memory, maxBodyBytes};
 	}
 
