--- a/review/common-2/harness.mjs
+++ b/review/common-2/harness.mjs
@@ -179,6 +179,14 @@
 
 const bounds = {drain_s: 2, evacuate_s: 5, grace_s: 6, hold_max_s: 10, retry_budget_ratio: 0.2, retry_slack: 64};
 
+const children = new Set();
+// No node outlives the script, however it ends.
+process.on('exit', () => {
+	for (const child of children) {
+		child.kill('SIGKILL');
+	}
+});
+
 /** A machine: a node as a process of its own, started with the command of the deploy file, and the address of the backend server beside it. */
 export class Machine {
 	#folder;
@@ -214,8 +222,10 @@
 			});
 		}
 
+		children.add(child);
 		this.ended = new Promise(resolve => {
 			child.on('exit', (code, signal) => {
+				children.delete(child);
 				this.record?.add(`the process of ${this.name} ended: ${signal ?? code}`);
 				resolve(signal ?? code);
 			});
