--- a/review/6/case.mjs
+++ b/review/6/case.mjs
@@ -1,18 +1,25 @@
+/* eslint-disable no-await-in-loop -- a script of its own: it plays steps one after the other, writes the names of the platform, and ends with an exit code */
 // A node is killed while it passes on an answer that has no length.
 import {Buffer} from 'node:buffer';
-import {dirname} from 'node:path';
+import path from 'node:path';
 import {fileURLToPath} from 'node:url';
-import {Backend, Client, createConfiguration, createHost, findPort, formatHead, Machine, runCase, sleep, Store, waitUntil} from '../common-2/harness.mjs';
+import {
+	Backend, Client, createConfiguration, createHost, findPort, formatHead, Machine, runCase, sleep, Store, waitUntil,
+} from '../common-2/harness.mjs';
 
 const bodyBytes = 8 * 1024 * 1024;
-const route = {name: 'designs', host: 'designs.example', prefix: '/designs/', service: 'katalogus', kind: 'idempotent'};
+const route = {
+	name: 'designs', host: 'designs.example', prefix: '/designs/', service: 'katalogus', kind: 'idempotent',
+};
 
-await runCase(dirname(fileURLToPath(import.meta.url)), async ({record, hasTrouble, add}) => {
+await runCase(path.dirname(fileURLToPath(import.meta.url)), async ({record, hasTrouble, add}) => {
 	const store = add(new Store());
 	const storeHost = createHost();
 	await store.listen(storeHost, await findPort(storeHost));
 	store.putOperatorRow('config', createConfiguration(1, [route], [{name: route.service}]));
-	const machines = ['a', 'b'].map(zone => add(new Machine({name: `sidecar-hu-central-${zone}-1`, zone: `hu-central-${zone}`, host: createHost(), service: route.service, store, record})));
+	const machines = ['a', 'b'].map(zone => add(new Machine({
+		name: `sidecar-hu-central-${zone}-1`, zone: `hu-central-${zone}`, host: createHost(), service: route.service, store, record,
+	})));
 	const body = Buffer.alloc(bodyBytes);
 	for (let index = 0; index < body.length; index++) {
 		body[index] = 97 + (index % 26);
@@ -56,6 +63,7 @@
 		record.add(`the client has read the head of the answer: ${JSON.stringify(client.head)}`);
 		setTimeout(() => client.socket.resume(), 600);
 	};
+
 	await waitUntil('the answer begins', () => client.head !== undefined);
 	await sleep(300);
 	if (hasTrouble) {
--- a/review/common-2/harness.mjs
+++ b/review/common-2/harness.mjs
@@ -1,20 +1,26 @@
+/* eslint-disable no-await-in-loop, no-void, camelcase, unicorn/no-process-exit -- a script of its own: it plays steps one after the other, writes the names of the platform, and ends with an exit code */
 // Stand-ins and helpers for the cases 6 to 10: the platform's store, backend servers, clients, and nodes as processes of their own.
 // Everything listens on loopback addresses; a machine is a loopback address of its own.
 import {Buffer} from 'node:buffer';
 import {spawn} from 'node:child_process';
-import {mkdtempSync, readFileSync, rmSync, writeFileSync} from 'node:fs';
+import {
+	mkdtempSync, readFileSync, rmSync, writeFileSync,
+} from 'node:fs';
 import {createServer as createHttpServer, request as sendHttp} from 'node:http';
 import {createConnection, createServer} from 'node:net';
 import {tmpdir} from 'node:os';
-import {dirname, join} from 'node:path';
+import path from 'node:path';
 import process from 'node:process';
 import {fileURLToPath} from 'node:url';
 
-export const root = join(dirname(fileURLToPath(import.meta.url)), '..', '..');
+export const root = path.join(path.dirname(fileURLToPath(import.meta.url)), '..', '..');
 export const sleep = ms => new Promise(resolve => {
 	setTimeout(resolve, ms);
 });
 
+/** Handles errors of connections that are closed anyway. */
+const ignore = () => undefined;
+
 const startMs = performance.now();
 /** Seconds since the start of the script. */
 export const readNow = () => (performance.now() - startMs) / 1000;
@@ -56,6 +62,8 @@
 	rows = new Map();
 	history = [];
 	version = 0;
+	/** While it is set, all calls of the nodes get 503. */
+	isRefusing = false;
 	#watchers = [];
 	#server;
 
@@ -64,6 +72,12 @@
 			const chunks = [];
 			incoming.on('data', chunk => chunks.push(chunk));
 			incoming.on('end', () => {
+				if (this.isRefusing) {
+					response.writeHead(503, {'Content-Length': 2});
+					response.end('{}');
+					return;
+				}
+
 				setTimeout(() => this.#handle(incoming, response, Buffer.concat(chunks).toString()), 3);
 			});
 		});
@@ -76,10 +90,20 @@
 		});
 	}
 
+	/** Refuses all calls, and ends the open ones, until it is called with false. */
+	setRefusing(isRefusing) {
+		this.isRefusing = isRefusing;
+		if (isRefusing) {
+			this.#server.closeAllConnections();
+		}
+	}
+
 	/** Writes a row of the operator. */
 	putOperatorRow(key, value) {
 		this.version++;
-		this.#set({table: 'op', part: '', key, value: Buffer.from(JSON.stringify(value)).toString('base64'), ver: this.version});
+		this.#set({
+			table: 'op', part: '', key, value: Buffer.from(JSON.stringify(value)).toString('base64'), ver: this.version,
+		});
 		this.#notify();
 	}
 
@@ -116,16 +140,30 @@
 	#handle(incoming, response, text) {
 		const {pathname, searchParams} = new URL(incoming.url, 'http://store');
 		const table = searchParams.get('table');
-		if (pathname === '/v1/rows-tx') {
-			this.#commit(response, JSON.parse(text));
-		} else if (pathname === '/v1/rows-get') {
-			const from = searchParams.get('from') ?? '';
-			const rows = [...this.rows.values()].filter(row => row.table === table && row.key >= from).sort((a, b) => a.key < b.key ? -1 : 1);
-			this.#reply(response, 200, {rows: rows.slice(0, 500), has_more: rows.length > 500});
-		} else if (pathname === '/v1/rows-feed') {
-			this.#feed(response, table, Number(searchParams.get('after')), performance.now() + Number(searchParams.get('wait_ms')));
-		} else {
-			this.#reply(response, 404, {});
+		switch (pathname) {
+			case '/v1/rows-tx': {
+				this.#commit(response, JSON.parse(text));
+
+				break;
+			}
+
+			case '/v1/rows-get': {
+				const from = searchParams.get('from') ?? '';
+				const rows = [...this.rows.values()].filter(row => row.table === table && row.key >= from).toSorted((a, b) => a.key < b.key ? -1 : 1);
+				this.#reply(response, 200, {rows: rows.slice(0, 500), has_more: rows.length > 500});
+
+				break;
+			}
+
+			case '/v1/rows-feed': {
+				this.#feed(response, table, Number(searchParams.get('after')), performance.now() + Number(searchParams.get('wait_ms')));
+
+				break;
+			}
+
+			default: {
+				this.#reply(response, 404, {});
+			}
 		}
 	}
 
@@ -138,11 +176,15 @@
 
 		this.version++;
 		for (const {table, part, key, value} of put) {
-			this.#set({table, part, key, value, ver: this.version});
+			this.#set({
+				table, part, key, value, ver: this.version,
+			});
 		}
 
 		for (const {table, part, key} of remove) {
-			this.#set({table, part, key, ver: this.version, is_deleted: true});
+			this.#set({
+				table, part, key, ver: this.version, is_deleted: true,
+			});
 		}
 
 		this.#reply(response, 200, {});
@@ -165,6 +207,7 @@
 				this.#feed(response, table, after, endMs);
 			}
 		};
+
 		const timer = setTimeout(again, leftMs);
 		this.#watchers.push(again);
 	}
@@ -172,12 +215,23 @@
 
 /** Fills in the settings template of the deploy file, as DEPLOY.md describes; the fields that the template uses are plain values. */
 function fillTemplate(fields, metricsPort) {
-	const text = readFileSync(join(root, 'deploy', 'node.jsonc'), 'utf8');
-	return text.replaceAll(/\{\{([\w.]+)\|json\}\}/g, (_, path) => JSON.stringify(path.split('.').reduce((value, name) => value[name], fields)))
-		.replace(/"metricsPort": \d+/, `"metricsPort": ${metricsPort}`);
+	const text = readFileSync(path.join(root, 'deploy', 'node.jsonc'), 'utf8');
+	const findValue = name => {
+		let value = fields;
+		for (const part of name.split('.')) {
+			value = value[part];
+		}
+
+		return value;
+	};
+
+	return text.replaceAll(/\{\{([\w.]+)\|json\}\}/gv, (_, name) => JSON.stringify(findValue(name)))
+		.replace(/"metricsPort": \d+/v, `"metricsPort": ${metricsPort}`);
 }
 
-const bounds = {drain_s: 2, evacuate_s: 5, grace_s: 6, hold_max_s: 10, retry_budget_ratio: 0.2, retry_slack: 64};
+const bounds = {
+	drain_s: 2, evacuate_s: 5, grace_s: 6, hold_max_s: 10, retry_budget_ratio: 0.2, retry_slack: 64,
+};
 
 const children = new Set();
 // No node outlives the script, however it ends.
@@ -195,15 +249,19 @@
 	log = '';
 
 	constructor({name, zone, host, service, store, record}) {
-		Object.assign(this, {name, zone, host, service, store, record});
-		this.#folder = mkdtempSync(join(tmpdir(), 'review-'));
-		this.#settingsFile = join(this.#folder, 'settings.jsonc');
+		Object.assign(this, {
+			name, zone, host, service, store, record,
+		});
+		this.#folder = mkdtempSync(path.join(tmpdir(), 'review-'));
+		this.#settingsFile = path.join(this.#folder, 'settings.jsonc');
 	}
 
 	async prepare() {
 		const pick = async () => `${this.host}:${await findPort(this.host)}`;
 		this.app = await pick();
-		this.listen = {outbound: await pick(), inbound: await pick(), ready: await pick(), control: await pick()};
+		this.listen = {
+			outbound: await pick(), inbound: await pick(), ready: await pick(), control: await pick(),
+		};
 		writeFileSync(this.#settingsFile, fillTemplate({
 			node_name: this.name, zone: this.zone, service: this.service, app_addr: this.app, listen: this.listen,
 			platform: {addr: this.store.address}, heartbeat_s: 1.5, bounds,
@@ -212,7 +270,7 @@
 
 	/** Starts the node. */
 	start() {
-		const [, command] = /run = "([^"]+)"/.exec(readFileSync(join(root, 'deploy', 'system.toml'), 'utf8'));
+		const [, command] = /run = "([^"]+)"/v.exec(readFileSync(path.join(root, 'deploy', 'system.toml'), 'utf8'));
 		const [program, ...args] = command.replace('/etc/buckthornpoint/settings.toml', this.#settingsFile).split(' ');
 		this.#child = spawn(program, args, {cwd: root, env: {PATH: process.env.PATH, HOME: process.env.HOME ?? '/'}, stdio: ['ignore', 'pipe', 'pipe']});
 		const child = this.#child;
@@ -282,10 +340,13 @@
 	#released = [];
 	#connections = new Set();
 	#isClosed = false;
+	#hasLeft = false;
 	born = Date.now();
 
 	constructor(machine, {id, slots = 18, handle, isSharded = false, record}) {
-		Object.assign(this, {id, slots, isSharded, record});
+		Object.assign(this, {
+			id, slots, isSharded, record,
+		});
 		this.#machine = machine;
 		this.#handle = handle;
 		this.#server = createServer({noDelay: true}, socket => this.#serve(socket));
@@ -312,27 +373,47 @@
 		}
 	}
 
-	async #beat() {
-		const sentMs = performance.now();
+	/** Announces that the server leaves, by a leave call. It sends no heartbeat after that and serves on. Returns whether it was acknowledged. */
+	async deregister() {
+		this.#hasLeft = true;
+		clearTimeout(this.#timer);
+		return await this.#call(`/v1/Instances.Deregister/${this.id}`, {born: this.born}) !== undefined;
+	}
+
+	/** Creates a heartbeat that is sent now and arrives when the returned function is called. */
+	createLateBeat() {
 		this.#sequence++;
-		const released = this.#released;
-		const answer = await this.#call(`/v1/Instances.Heartbeat/${this.id}`, {
+		const beat = this.#encodeBeat([]);
+		return () => this.#call(`/v1/Instances.Heartbeat/${this.id}`, beat);
+	}
+
+	#encodeBeat(released) {
+		return {
 			service: this.#machine.service, addr: this.#machine.app, zone: this.#machine.zone, version: 'v1', slots: this.slots, state: 'ready',
 			cold_remaining_s: 0, seq: this.#sequence, born: this.born,
 			...this.isSharded && {
 				holds: this.#holds.filter(hold => performance.now() < hold.endMs).map(({from, to, fence}) => [from, to, fence]),
 				released: released.map(({from, to, handover}) => [from, to, handover]),
 			},
-		});
+		};
+	}
+
+	async #beat() {
+		const sentMs = performance.now();
+		this.#sequence++;
+		const released = this.#released;
+		const answer = await this.#call(`/v1/Instances.Heartbeat/${this.id}`, this.#encodeBeat(released));
 		if (answer !== undefined) {
 			this.#released = this.#released.filter(row => !released.includes(row));
 			if (answer.holds !== undefined) {
 				const endMs = sentMs + (answer.hold_s * 1000);
-				this.#holds = answer.holds.map(([from, to, fence]) => ({from, to, fence, endMs}));
+				this.#holds = answer.holds.map(([from, to, fence]) => ({
+					from, to, fence, endMs,
+				}));
 			}
 		}
 
-		if (!this.#isClosed) {
+		if (!this.#isClosed && !this.#hasLeft) {
 			this.#timer = setTimeout(() => void this.#beat(), answer === undefined ? 200 : 1500 - (performance.now() - sentMs));
 		}
 	}
@@ -362,7 +443,7 @@
 				this.#accept(request, socket);
 			}
 		});
-		socket.on('error', () => {});
+		socket.on('error', ignore);
 		socket.on('close', () => this.#connections.delete(socket));
 	}
 
@@ -431,6 +512,7 @@
 				this.end ??= end;
 				resolve(this);
 			};
+
 			this.socket.on('data', chunk => {
 				this.chunks.push(chunk);
 				this.receivedBytes += chunk.length;
@@ -479,20 +561,28 @@
 		resources: [
 			...routes.map(({name, host, prefix, service, kind, timeout = 4}) => ({
 				resource_type: 'routes', metadata: {name},
-				spec: {host, prefix, route_kind: kind, timeout_s: timeout, target_latency_s: 0.6, priority: 1, service, max_attempts: 2},
+				spec: {
+					host, prefix, route_kind: kind, timeout_s: timeout, target_latency_s: 0.6, priority: 1, service, max_attempts: 2,
+				},
 			})),
 			...services.map(({name, isSharded = false}) => ({
 				resource_type: 'services', metadata: {name},
-				spec: {health_path: '/healthz', max_conns: 100, protocol: 'h1', tls: false, cold_start_s: 3, cold_per_s: 24, ...isSharded && {is_sharded: true, warmup_s: 3, grants: 'heartbeat'}},
+				spec: {
+					health_path: '/healthz', max_conns: 100, protocol: 'h1', tls: false, cold_start_s: 3, cold_per_s: 24, ...isSharded && {is_sharded: true, warmup_s: 3, grants: 'heartbeat'},
+				},
 			})),
-			{resource_type: 'limits', metadata: {}, spec: {header_bytes: 16384, body_bytes: 67108864, header_timeout_s: 3, idle_timeout_s: 15}},
+			{
+				resource_type: 'limits', metadata: {}, spec: {
+					header_bytes: 16_384, body_bytes: 67_108_864, header_timeout_s: 3, idle_timeout_s: 15,
+				},
+			},
 		],
 	};
 }
 
 /** Runs a case: `check` returns true if the rule held. Ends with 1 if it was broken, 2 if the case could not run. */
 export async function runCase(folder, play) {
-	const record = new Record(join(folder, 'record.txt'));
+	const record = new Record(path.join(folder, 'record.txt'));
 	const parts = [];
 	let code = 2;
 	const limit = setTimeout(() => {
@@ -501,17 +591,19 @@
 		process.exit(2);
 	}, 110_000);
 	try {
-		const isKept = await play({record, hasTrouble: process.env.TROUBLE !== '0', add(part) {
-			parts.push(part);
-			return part;
-		}});
-		code = isKept === undefined ? 2 : isKept ? 0 : 1;
+		const isKept = await play({
+			record, hasTrouble: process.env.TROUBLE !== '0', add(part) {
+				parts.push(part);
+				return part;
+			},
+		});
+		code = isKept === undefined ? 2 : (isKept ? 0 : 1);
 		record.add(['the rule held', 'THE RULE WAS BROKEN', 'the case could not run'][code]);
 	} catch (error) {
 		record.add(`the case could not run: ${error.stack}`);
 	}
 
-	for (const part of parts.reverse()) {
+	for (const part of parts.toReversed()) {
 		await part.close();
 	}
 
