--- a/node/mesh-daemon/test/crowds/fleet-processes.ts
+++ b/node/mesh-daemon/test/crowds/fleet-processes.ts
@@ -120,11 +120,26 @@
 		return status === statusOk;
 	}
 
+	/** The end of the process's output. */
+	get output(): string {
+		return this.#output;
+	}
+
 	/** Begins a planned stop. */
 	stop(): void {
 		this.#child.kill('SIGTERM');
 	}
 
+	/** Suspends the process, as when its share of the processor is used up. */
+	suspend(): void {
+		this.#child.kill('SIGSTOP');
+	}
+
+	/** Continues a suspended process. */
+	resume(): void {
+		this.#child.kill('SIGCONT');
+	}
+
 	async close(): Promise<void> {
 		if (this.end === undefined) {
 			const ended = once(this.#child, 'exit');
@@ -144,6 +159,7 @@
 	readonly #nodes: RunningNode[] = [];
 	#folder = '';
 	#requestCount = 0;
+	#configurationVersion = 0;
 
 	constructor(opts: FleetOpts) {
 		this.#opts = opts;
@@ -163,12 +179,9 @@
 	}
 
 	async start(): Promise<void> {
-		const {timeoutSeconds = defaultTimeoutSeconds} = this.#opts;
 		this.#folder = await mkdtemp(join(tmpdir(), 'buckthornpoint-crowds-'));
 		await this.#store.listen('127.0.0.1', 0);
-		this.#store.writeOperatorRow(configurationRowKey, encodeConfiguration(1, [{
-			name: 'jobs', host: routeHost, prefix: '/jobs/', service: 'jobs', isIdempotent: false, timeoutSeconds, targetSeconds: timeoutSeconds, maxAttempts: 2,
-		}], [{name: 'entry', isDivided: false, maxConnections: 100}, {name: 'jobs', isDivided: false, maxConnections: 100}], {bodyBytes: this.#opts.bodyBytes}));
+		this.setTimeoutSeconds(this.#opts.timeoutSeconds ?? defaultTimeoutSeconds);
 		await this.#startNode('entry');
 		await this.#startNode('jobs');
 		const endMs = performance.now() + startTimeoutMs;
@@ -181,6 +194,13 @@
 		}
 	}
 
+	/** Writes a further version of the configuration, in which the only route has this time-out. */
+	setTimeoutSeconds(timeoutSeconds: number): void {
+		this.#store.writeOperatorRow(configurationRowKey, encodeConfiguration(++this.#configurationVersion, [{
+			name: 'jobs', host: routeHost, prefix: '/jobs/', service: 'jobs', isIdempotent: false, timeoutSeconds, targetSeconds: timeoutSeconds, maxAttempts: 2,
+		}], [{name: 'entry', isDivided: false, maxConnections: 100}, {name: 'jobs', isDivided: false, maxConnections: 100}], {bodyBytes: this.#opts.bodyBytes}));
+	}
+
 	/** Sends one ordinary request as an ordinary caller does: it comes back after a refusal. Returns the last status. */
 	async sendOrdinaryRequest(): Promise<number> {
 		let status = 0;
