fix: keep the time-out of a call to the store through a garbage collection

The nodes were alive, ready and served the old routes.

Cause: the time-out of a watch was AbortSignal.any of the task's signal and an AbortSignal.timeout. The combined signal holds its sources weakly, so a garbage collection removes the time-out and its timer; the watch then has no time-out. On a connection to the store that has gone silent it waits for ever.

Evidence: a script of ten lines (a combined signal, one collection) never fires on Node.js 20.20.2, and fires without the collection. The unit test and the crowd test, real processes under load whose watches go silent 3 s before the change, fail on (the watch has not ended; 404) and pass now. The whole fleet is affected only if all watches are silent: one that works tells the controller.

Change: DeadlineSignal holds its timer, from the clock that is passed in.

Ruled out: nothing about what the users saw. That their store connections went silent is not known.

--- a/client/client/src/client.ts
+++ b/client/client/src/client.ts
@@ -1,4 +1,5 @@
 import type {Clock} from '@buckthornpoint/clock/clock.js';
+import {DeadlineSignal} from '@buckthornpoint/clock/deadline-signal.js';
 import type {RandomSource} from '@buckthornpoint/clock/random.js';
 import type {RequestClass} from '@buckthornpoint/types/configuration.js';
 import {createNotRunFailure, type FailureReason, type RequestResult} from '@buckthornpoint/types/requests.js';
@@ -74,7 +75,8 @@
 type PreparedRequest = {
 	readonly attempt: Attempt;
 	readonly criteria: RoutingCriteria;
-	readonly signal: AbortSignal;
+	/** Closed once the request has its result. */
+	readonly deadline: DeadlineSignal;
 	/** The deadline on the monotonic clock. */
 	readonly deadlineMonotonicMs: number;
 	/** Whether the client generated the id. Only then does it know how often the id was sent, and numbers the attempts. */
@@ -101,7 +103,15 @@
 		}
 
 		const prepared = this.#buildAttempt({...request, requestId, isIdGenerated}, loaded.value);
-		return 'kind' in prepared ? prepared : this.#sendWithRetries(prepared, loaded.value);
+		if ('kind' in prepared) {
+			return prepared;
+		}
+
+		try {
+			return await this.#sendWithRetries(prepared, loaded.value);
+		} finally {
+			prepared.deadline.close();
+		}
 	}
 
 	async close(): Promise<void> {
@@ -113,8 +123,8 @@
 		let document = knownDocument;
 		let result = await this.#sendOnce(prepared, document, 1);
 		for (let attempts = 1; attempts < maxAttempts && canRetry(result); attempts++) {
-			await this.#opts.clock.sleep(this.#generateDelayMs(attempts), prepared.signal);
-			if (prepared.signal.aborted) {
+			await this.#opts.clock.sleep(this.#generateDelayMs(attempts), prepared.deadline.signal);
+			if (prepared.deadline.signal.aborted) {
 				return result;
 			}
 
@@ -126,7 +136,7 @@
 		return result;
 	}
 
-	async #sendOnce({attempt, criteria, signal, deadlineMonotonicMs, isIdGenerated}: PreparedRequest, document: RoutingDocument, attemptNumber: number): Promise<RequestResult> {
+	async #sendOnce({attempt, criteria, deadline, deadlineMonotonicMs, isIdGenerated}: PreparedRequest, document: RoutingDocument, attemptNumber: number): Promise<RequestResult> {
 		const origin = chooseNode(criteria, document, candidate => this.#connections.countRunning(candidate), this.#opts.random);
 		if (origin === undefined) {
 			return createNotRunFailure(attempt.requestId, 'no-owner', 'the routing table names no owner');
@@ -138,7 +148,7 @@
 		}
 
 		const headers = {...attempt.headers, 'buckthornpoint-deadline-ms': String(remainingMs), ...isIdGenerated && {'buckthornpoint-attempt': String(attemptNumber)}};
-		return this.#connections.send(origin, {...attempt, headers}, signal);
+		return this.#connections.send(origin, {...attempt, headers}, deadline.signal);
 	}
 
 	#buildAttempt(request: IdentifiedRequest, document: RoutingDocument): PreparedRequest | RequestResult {
@@ -153,7 +163,6 @@
 
 		const rule = findRule(service, request.method, request.path);
 		const deadlineMs = request.deadlineMs ?? rule?.defaultDeadlineMs ?? fallbackDeadlineMs;
-		const timeout = AbortSignal.timeout(deadlineMs);
 		return {
 			attempt: {
 				requestId: request.requestId, method: request.method, path: request.path, headers: buildHeaders(request), body: request.body,
@@ -161,7 +170,7 @@
 			criteria: {
 				requestId: request.requestId, service, key: request.key, idempotent: rule?.idempotent ?? false,
 			},
-			signal: request.signal === undefined ? timeout : AbortSignal.any([timeout, request.signal]),
+			deadline: new DeadlineSignal(this.#opts.clock, deadlineMs, request.signal),
 			isIdGenerated: request.isIdGenerated,
 			deadlineMonotonicMs: this.#opts.clock.readTimestamp().monotonicMs + deadlineMs,
 		};
--- a/node/mesh-daemon/src/create-connections.ts
+++ b/node/mesh-daemon/src/create-connections.ts
@@ -6,8 +6,9 @@
 import {logEraEvent} from './log-decisions.js';
 
 /** Creates the client of the platform's store at `address`, host and port. `onReturn` is called when the store returned from an older copy. */
-export function createStore(address: string, log: Log, onReturn: () => void): RowStore {
+export function createStore(address: string, {clock, log}: {readonly clock: Clock; readonly log: Log}, onReturn: () => void): RowStore {
 	return new RowStore(address, {
+		clock,
 		onEraEvent(event) {
 			logEraEvent(log, event);
 			if (event.kind === 'era-began' && event.earlierEra !== undefined) {
--- a/node/mesh-daemon/src/mesh-node.ts
+++ b/node/mesh-daemon/src/mesh-node.ts
@@ -89,7 +89,7 @@
 		this.#timeouts = deriveTimeouts(settings);
 		this.#view = new FleetView({mayShareCapacity: settings.sharesCapacity ?? false});
 		this.#memory = createBodyMemory(settings, opts.clock);
-		this.#store = createStore(settings.store, opts.log, () => {
+		this.#store = createStore(settings.store, opts, () => {
 			this.#routes.refresh();
 			this.#leaves.writeAgain();
 		});
--- a/node/mesh-daemon/test/crowds/caller-threads.ts
+++ b/node/mesh-daemon/test/crowds/caller-threads.ts
@@ -32,7 +32,7 @@
 /** Runs callers in a thread of their own until they are done. */
 export async function runCallers(task: CallerTask): Promise<readonly CallerReport[]> {
 	const worker = new Worker(new URL('caller-worker.js', import.meta.url), {workerData: task});
-	const [reports] = await once(worker, 'message') as [readonly CallerReport[]];
+	const [reports] = await once(worker, 'message') as [readonly CallerReport[]]; // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion
 	await worker.terminate();
 	return reports;
 }
--- a/node/mesh-daemon/test/crowds/caller-worker.ts
+++ b/node/mesh-daemon/test/crowds/caller-worker.ts
@@ -5,7 +5,7 @@
 
 // Callers in a thread of their own: the delays of the test's other work, which includes the servers, must not count as delays of a node.
 
-const task = workerData as CallerTask;
+const task = workerData as CallerTask; // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion
 const statusPattern = /^HTTP\/1\.1 (\d{3}) /v;
 let requestCount = 0;
 
--- a/node/mesh-daemon/test/crowds/fleet-processes.ts
+++ b/node/mesh-daemon/test/crowds/fleet-processes.ts
@@ -1,13 +1,8 @@
 import {Buffer} from 'node:buffer';
-import {spawn, type ChildProcess} from 'node:child_process';
-import {once} from 'node:events';
-import {readdirSync, readFileSync} from 'node:fs';
 import {mkdtemp, rm, writeFile} from 'node:fs/promises';
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
-import process from 'node:process';
 import {setTimeout as sleep} from 'node:timers/promises';
-import {fileURLToPath} from 'node:url';
 import {SystemClock} from '@buckthornpoint/clock/system-clock.js';
 import {createSystemRandom} from '@buckthornpoint/clock/system-random.js';
 import {RunObserver, type StandInRun} from '@buckthornpoint/fleet-stand-in/run-observer.js';
@@ -18,11 +13,7 @@
 import type {EndlessAnswer} from '@buckthornpoint/fleet-stand-in/endless-answer.js';
 import {StandInStore} from '@buckthornpoint/fleet-stand-in/stand-in-store.js';
 import {findFreePort, sendRequest, type ReceivedAnswer} from './loopback.js';
-
-const entryFile = fileURLToPath(new URL('../../src/main.js', import.meta.url));
-
-/** The flags under which the deploy file runs a node. */
-const runtimeFlags = ['--max-old-space-size=160', '--max-semi-space-size=4'];
+import {RunningNode, type ThrowOpts} from './running-node.js';
 
 /** Memory of the smallest VM. A process above it is killed. */
 export const maxMemoryBytes = 250 * 1024 * 1024;
@@ -62,6 +53,8 @@
 	readonly getEndlessAnswer?: (requestId: string) => EndlessAnswer | undefined;
 	/** Lowered limits in the settings of the nodes. */
 	readonly settings?: {readonly maxDescriptors?: number};
+	/** Makes each node throw once. */
+	readonly thrown?: ThrowOpts;
 };
 
 class BodyRecorder extends RunObserver {
@@ -80,75 +73,6 @@
 	}
 }
 
-/** A node process and the addresses at which it listens. */
-export class RunningNode {
-	readonly callers: string;
-	readonly #child: ChildProcess;
-	readonly #readiness: string;
-	/** The end of the process's output, for the message of a failed check. */
-	#output = '';
-
-	constructor(settingsFile: string, {callers, readiness}: {readonly callers: string; readonly readiness: string}) {
-		this.callers = callers;
-		this.#readiness = readiness;
-		this.#child = spawn(process.execPath, [...runtimeFlags, entryFile, '--settings', settingsFile], {stdio: ['ignore', 'pipe', 'pipe']});
-		for (const stream of [this.#child.stdout, this.#child.stderr]) {
-			stream!.setEncoding('utf8').on('data', (text: string) => {
-				this.#output = (this.#output + text).slice(-2000);
-			});
-		}
-	}
-
-	/** Why the process ended; undefined while it runs. */
-	get end(): string | undefined {
-		const {exitCode, signalCode} = this.#child;
-		return exitCode === null && signalCode === null ? undefined : `ended with ${signalCode ?? exitCode}: ${this.#output}`;
-	}
-
-	/** Reads the largest resident memory that the process has had. */
-	readPeakMemory(): number {
-		const kilobytes = /^VmHWM:\s+(\d+) kB$/mv.exec(readFileSync(`/proc/${this.#child.pid}/status`, 'utf8'))?.[1];
-		return Number(kilobytes) * 1024;
-	}
-
-	countDescriptors(): number {
-		return readdirSync(`/proc/${this.#child.pid}/fd`).length;
-	}
-
-	async isReady(): Promise<boolean> {
-		const {status} = await sendRequest(this.#readiness, {method: 'GET', path: '/v1/readyz', headers: {}});
-		return status === statusOk;
-	}
-
-	/** The end of the process's output. */
-	get output(): string {
-		return this.#output;
-	}
-
-	/** Begins a planned stop. */
-	stop(): void {
-		this.#child.kill('SIGTERM');
-	}
-
-	/** Suspends the process, as when its share of the processor is used up. */
-	suspend(): void {
-		this.#child.kill('SIGSTOP');
-	}
-
-	/** Continues a suspended process. */
-	resume(): void {
-		this.#child.kill('SIGCONT');
-	}
-
-	async close(): Promise<void> {
-		if (this.end === undefined) {
-			const ended = once(this.#child, 'exit');
-			this.#child.kill('SIGKILL');
-			await ended;
-		}
-	}
-}
-
 /** Two nodes on loopback, each beside a backend server. Requests that enter at the first node run beside the second. */
 export class TestFleet {
 	readonly #opts: FleetOpts;
@@ -194,11 +118,19 @@
 		}
 	}
 
+	/** Leaves the connections open on which nodes watch the store, and does not answer on them any more. All others work. */
+	stopStoreAnswers(): void {
+		this.#store.stopAnsweringWatches();
+	}
+
 	/** Writes a further version of the configuration, in which the only route has this time-out. */
 	setTimeoutSeconds(timeoutSeconds: number): void {
-		this.#store.writeOperatorRow(configurationRowKey, encodeConfiguration(++this.#configurationVersion, [{
-			name: 'jobs', host: routeHost, prefix: '/jobs/', service: 'jobs', isIdempotent: false, timeoutSeconds, targetSeconds: timeoutSeconds, maxAttempts: 2,
-		}], [{name: 'entry', isDivided: false, maxConnections: 100}, {name: 'jobs', isDivided: false, maxConnections: 100}], {bodyBytes: this.#opts.bodyBytes}));
+		this.#writeRoutes(timeoutSeconds, [routeHost]);
+	}
+
+	/** Writes a further version of the configuration, in which there is a second route. */
+	addRoute(host: string): void {
+		this.#writeRoutes(this.#opts.timeoutSeconds ?? defaultTimeoutSeconds, [routeHost, host]);
 	}
 
 	/** Sends one ordinary request as an ordinary caller does: it comes back after a refusal. Returns the last status. */
@@ -245,6 +177,12 @@
 		await rm(this.#folder, {recursive: true});
 	}
 
+	#writeRoutes(timeoutSeconds: number, hosts: readonly string[]): void {
+		this.#store.writeOperatorRow(configurationRowKey, encodeConfiguration(++this.#configurationVersion, hosts.map(host => ({
+			name: host, host, prefix: '/jobs/', service: 'jobs', isIdempotent: false, timeoutSeconds, targetSeconds: timeoutSeconds, maxAttempts: 2,
+		})), [{name: 'entry', isDivided: false, maxConnections: 100}, {name: 'jobs', isDivided: false, maxConnections: 100}], {bodyBytes: this.#opts.bodyBytes}));
+	}
+
 	async #isServing(): Promise<boolean> {
 		const areReady = await Promise.all(this.#nodes.map(async node => node.isReady()));
 		const {status} = await this.sendJob(Buffer.from('the first job'));
@@ -270,7 +208,7 @@
 			metricsPort: 0,
 			...this.#opts.settings,
 		}));
-		this.#nodes.push(new RunningNode(file, {callers: `127.0.0.1:${callers}`, readiness: `127.0.0.1:${readiness}`}));
+		this.#nodes.push(new RunningNode(file, {callers: `127.0.0.1:${callers}`, readiness: `127.0.0.1:${readiness}`}, this.#opts.thrown));
 		const backend = new StandInBackend(this.#clock, this.#recorder, {
 			id: `server-${service}`,
 			service,
--- a/stand-ins/backend-server/src/backend-server.ts
+++ b/stand-ins/backend-server/src/backend-server.ts
@@ -1,6 +1,7 @@
 import type {AddressInfo} from 'node:net';
 import {serve, type ServerType} from '@hono/node-server';
 import type {Clock} from '@buckthornpoint/clock/clock.js';
+import {DeadlineSignal} from '@buckthornpoint/clock/deadline-signal.js';
 import type {RandomSource} from '@buckthornpoint/clock/random.js';
 import {SeededRandom} from '@buckthornpoint/clock/seeded-random.js';
 import type {BackendServer} from '@buckthornpoint/types/membership.js';
@@ -145,6 +146,7 @@
 
 	async #announce(): Promise<void> {
 		const {name, service, slots, checksFence, nodeOrigin} = this.#opts;
+		const deadline = new DeadlineSignal(this.#clock, announceTimeoutMs, this.#closed.signal);
 		try {
 			const response = await sendRequest(`${nodeOrigin}/v1/announcements`, {
 				method: 'POST',
@@ -152,11 +154,13 @@
 				body: JSON.stringify({
 					name, service, origin: this.#origin, slots, checksFence, incarnation: this.#incarnation, leaving: this.#worker.faults.leaving,
 				}),
-				signal: AbortSignal.any([this.#closed.signal, AbortSignal.timeout(announceTimeoutMs)]),
+				signal: deadline.signal,
 			});
 			await response.body.dump();
 		} catch {
 			// The node is not reachable yet, or this server is closing; the next announcement is the retry.
+		} finally {
+			deadline.close();
 		}
 	}
 }
--- a/tools/workspace-check/src/main.ts
+++ b/tools/workspace-check/src/main.ts
@@ -2,6 +2,7 @@
 import process from 'node:process';
 import {formatFindings, type Finding} from '@buckthornpoint/errors/findings.js';
 import {checkImports, type PackageFolders} from './imports.js';
+import {checkSignals} from './signals.js';
 import {checkFunctionNames, parseVerbs} from './verbs.js';
 
 const standardInput = 0;
@@ -12,7 +13,7 @@
 const findings = sources.flatMap((file): readonly Finding[] => {
 	const text = readFileSync(file, 'utf8');
 	const indexFindings: readonly Finding[] = file.endsWith('/index.ts') ? [{code: 'ERR_DOCUMENT_VALUE', message: `${file} is an index file`}] : [];
-	return [...indexFindings, ...checkImports(file, text, packages), ...checkFunctionNames(file, text, verbs)];
+	return [...indexFindings, ...checkImports(file, text, packages), ...checkFunctionNames(file, text, verbs), ...checkSignals(file, text)];
 });
 
 if (findings.length > 0) {
