fix: accept the connections of a burst before their requests are handled, and count their time-outs from their arrival

Beside it, bursts of 600 new connections held 81 to 114 of their own requests more than half a second past a time-out of 0.4 s, and requests of other callers on new connections up to 1.1 s.

Cause: libuv 1.46 in Node.js 20 accepts one connection in each turn of the event loop (a script shows 200 turns for 200 connections). All requests that were read in a turn were also started in it. So a new connection waited for one turn for each connection before it in the accept queue, those of callers that had left included; the time-out of a request began when it was read. A readiness check has a listener and so a queue of its own, and is answered in the next turn. process-stalled said nothing as no turn took half a second.

Class: a queue in first-in order whose waiting time is not known and not bounded.

Change: connections are accepted first, in turns that do little else, for up to 100 ms, and are then served with the newest first, as its caller most likely still waits. New requests get 3 ms of each turn. A request counts from the earliest time at which its bytes may have arrived (turns of the event loop and their idle time, or a stall); one that is past its time-out when it is read is refused at once as not run.

Ruled out: a limit of connections, paused reads, a stall of the process. That this is what the users saw is not shown.

--- a/node/ingress/src/caller-connections.ts
+++ b/node/ingress/src/caller-connections.ts
@@ -45,7 +45,6 @@
 	readonly #pipelining = new PipeliningLimit();
 	readonly #heads: HeadWatch;
 	readonly #pausedReads = new PausedReads();
-	#acceptedCount = 0;
 	#closedCount = 0;
 
 	constructor(clock: Clock, maxCount = Number.POSITIVE_INFINITY) {
@@ -60,11 +59,6 @@
 		});
 	}
 
-	/** Number of connections that were accepted. */
-	get acceptedCount(): number {
-		return this.#acceptedCount;
-	}
-
 	/** Number of connections that were closed in favour of others. */
 	get closedCount(): number {
 		return this.#closedCount;
@@ -75,9 +69,13 @@
 		return this.#states.size >= nearLimitShare * this.#maxCount;
 	}
 
+	/** Whether the connections, with further ones that wait, are at the limit. */
+	isFull(waitingCount: number): boolean {
+		return this.#states.size + waitingCount >= this.#maxCount;
+	}
+
 	/** Adds a new connection. At the limit, another one is closed, or the new one if all others are busy. */
 	add(socket: Socket): void {
-		this.#acceptedCount++;
 		if (this.#states.size >= this.#maxCount) {
 			this.#close(this.#chooseClosed() ?? socket);
 		}
--- a/node/ingress/src/caller-server.ts
+++ b/node/ingress/src/caller-server.ts
@@ -1,8 +1,6 @@
-import {
-	createServer, type IncomingMessage, type Server, type ServerResponse,
-} from 'node:http';
-import {setImmediate} from 'node:timers';
+import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {AccountLimits} from '@buckthornpoint/accounts/account-limits.js';
+import type {OutcomeReason} from '@buckthornpoint/backend-link/outcome.js';
 import type {Clock} from '@buckthornpoint/clock/clock.js';
 import {readCallerHeaders} from '@buckthornpoint/fleet/headers.js';
 import {createUnlimitedMemory, type BodyMemory} from '@buckthornpoint/frames/body-blocks.js';
@@ -10,14 +8,16 @@
 import {AccountCharges} from './account-charges.js';
 import {AttemptAges} from './attempt-ages.js';
 import {CallerConnections} from './caller-connections.js';
+import {CallerListener} from './caller-listener.js';
 import {CallerResponder, type PendingRequest} from './caller-responder.js';
 import {CallerUploads, type UploadedBody} from './caller-uploads.js';
 import {checkRequestHead} from './check-request-head.js';
 import {createRoutedRequest, type AcceptedRequest} from './create-routed-request.js';
 import type {FinishedRequest} from './finished-request.js';
 import type {FleetView} from './fleet-view.js';
-import {handleClientError} from './parser-errors.js';
+import {runInLaterTurn} from './later-turn.js';
 import type {RequestRouter} from './request-router.js';
+import {TurnQueue} from './turn-queue.js';
 
 /** Dependencies of a caller server. */
 export type CallerServerOpts = {
@@ -49,28 +49,23 @@
 /** Time from the end of a planned stop until the restarted process has received its routes and accepts requests. */
 export const expectedRestartMs = 1000;
 
-/** Idle timeout of connections until the operator's limits are known; the usual limit of the deployments. */
-const defaultIdleTimeoutMs = 15_000;
+/** Retry-After for a request that had waited for its whole time when it was read. */
+const heldUpRetryAfterMs = 100;
 
-/** Added to the operator's idle timeout: a request may be in transit when it expires. */
-const idleTimeoutMarginMs = 2000;
-
-/** Interval of the checks for incomplete request heads; the operator's limits are some seconds. */
-const headCheckIntervalMs = 1000;
-
-/** Limit of the HTTP parser for request headers. The operator's limit is checked in addition once it is known. */
-const maxHeaderBytes = 64 * 1024;
+/** Time in each turn of the event loop for requests that begin. */
+const maxStartMsPerTurn = 3;
 
 /** HTTP server for the callers and the backend server of this VM. */
 export class CallerServer {
 	readonly #opts: CallerServerOpts;
-	readonly #server: Server;
 	readonly #serviceSplit = new WeightedSplit();
 	readonly #attemptAges = new AttemptAges();
 	readonly #connections: CallerConnections;
 	readonly #uploads: CallerUploads;
 	readonly #responder: CallerResponder;
 	readonly #charges: AccountCharges;
+	readonly #listener: CallerListener;
+	readonly #starts: TurnQueue;
 	#pendingCount = 0;
 	#hasStoppedListening = false;
 	/** During a planned stop: the time on the node's clock at which requests still pending are ended. */
@@ -85,46 +80,37 @@
 		this.#responder = new CallerResponder({
 			...opts, memory, connections: this.#connections, getRoutesVersion: () => opts.view.routeTable?.version, isStopping: () => this.#stopMs !== undefined,
 		});
-		this.#server = createServer({
-			keepAliveTimeout: defaultIdleTimeoutMs + idleTimeoutMarginMs,
-			headersTimeout: defaultIdleTimeoutMs + idleTimeoutMarginMs,
-			connectionsCheckingInterval: headCheckIntervalMs,
-			requestTimeout: 0,
-			maxHeaderSize: maxHeaderBytes,
-			noDelay: true,
-		}, (incoming, response) => {
-			this.#handle(incoming, response);
-		});
-		this.#server.on('connection', socket => {
-			this.#connections.add(socket);
-		});
-		this.#server.on('clientError', (error, socket) => {
-			handleClientError(error, socket, this.#connections);
+		this.#starts = new TurnQueue({clock: opts.clock, maxMsPerTurn: maxStartMsPerTurn});
+		this.#listener = new CallerListener({
+			clock: opts.clock,
+			connections: this.#connections,
+			onRequest: (incoming, response) => {
+				this.#handle(incoming, response);
+			},
+			onNoneWaiting: () => {
+				this.#closeIfNonePending();
+			},
+			...opts.onAcceptError !== undefined && {onError: opts.onAcceptError},
 		});
 	}
 
 	/** Number of connections that were accepted since the start. */
 	get acceptedConnections(): number {
-		return this.#connections.acceptedCount;
+		return this.#listener.acceptedCount;
 	}
 
 	/** Number of connections that were closed in favour of others or because their answers were not read. */
 	get closedConnections(): number {
-		return this.#connections.closedCount + this.#responder.closedConnections;
+		return this.#connections.closedCount + this.#listener.closedUnreadCount + this.#responder.closedConnections;
 	}
 
 	async listen(host: string, port: number): Promise<void> {
-		await new Promise<void>((resolve, reject) => {
-			this.#server.once('error', reject);
-			this.#server.listen(port, host, resolve);
-		});
-		this.#server.on('error', error => this.#opts.onAcceptError?.(error));
+		await this.#listener.listen(host, port);
 	}
 
 	/** The port in use, chosen by the system if the server was told to listen on port 0; 0 while the server doesn't listen. */
 	getPort(): number {
-		const address = this.#server.address();
-		return typeof address === 'object' && address !== null ? address.port : 0;
+		return this.#listener.getPort();
 	}
 
 	/** Number of requests without a final answer. */
@@ -145,27 +131,24 @@
 	}
 
 	close(): void {
+		this.#starts.close();
 		this.#uploads.close();
 		this.#responder.close();
-		this.#server.close();
-		this.#server.closeAllConnections();
+		this.#listener.close();
 	}
 
 	/** Waits for pending answers: closing a connection would truncate an answer that is written but not sent yet. */
 	#closeIfNonePending(): void {
-		if (!this.#hasStoppedListening || this.#pendingCount > 0) {
+		if (!this.#hasStoppedListening || this.#pendingCount > 0 || this.#listener.waitingCount > 0) {
 			return;
 		}
 
 		// After a stall of the process, connections may wait in the accept queue, and requests on kept connections may be unread.
 		// They would be reset; accept, read and answer them first, which takes two turns of the event loop.
-		setImmediate(() => {
-			setImmediate(() => {
-				if (this.#pendingCount === 0) {
-					this.#server.close();
-					this.#server.closeIdleConnections();
-				}
-			});
+		runInLaterTurn(() => {
+			if (this.#pendingCount === 0 && this.#listener.waitingCount === 0) {
+				this.#listener.stop();
+			}
 		});
 	}
 
@@ -177,7 +160,7 @@
 		}
 
 		const pending: PendingRequest = {
-			incoming, response, arrivedMs: this.#readNowMs(), headers: readCallerHeaders(incoming.headers),
+			incoming, response, arrivedMs: this.#listener.estimateArrivalMs(socket), headers: readCallerHeaders(incoming.headers),
 		};
 		this.#pendingCount++;
 		response.sendDate = false;
@@ -198,8 +181,7 @@
 			return;
 		}
 
-		this.#server.headersTimeout = Math.max(table.limits.headerTimeoutMs, table.limits.idleTimeoutMs + idleTimeoutMarginMs);
-		this.#server.keepAliveTimeout = table.limits.idleTimeoutMs + idleTimeoutMarginMs;
+		this.#listener.applyLimits(table.limits);
 		const checked = checkRequestHead(incoming, pending.headers, {table, routeIndex, accountIndex: view.accountIndex});
 		if ('keyProblem' in checked) {
 			this.#responder.refuseKey(pending, checked.route, checked.keyProblem);
@@ -213,6 +195,11 @@
 
 	/** Counts a request against the limit of its account, and reads its body if it is within the limit. */
 	#admit(pending: PendingRequest, accepted: AcceptedRequest): void {
+		if (this.#getEndMs(pending, accepted) <= this.#readNowMs()) {
+			this.#responder.refuse(pending, 'held-up', heldUpRetryAfterMs);
+			return;
+		}
+
 		const retryAfterMs = this.#charges.consume(accepted.account);
 		if (retryAfterMs === undefined) {
 			this.#readBody(pending, accepted);
@@ -222,9 +209,9 @@
 	}
 
 	#readBody(pending: PendingRequest, accepted: AcceptedRequest): void {
-		const {incoming, headers, arrivedMs} = pending;
-		const {table, route, account} = accepted;
-		const endMs = arrivedMs + Math.min(headers.deadlineMs ?? route.timeoutMs, route.timeoutMs);
+		const {incoming} = pending;
+		const {table, account} = accepted;
+		const endMs = this.#getEndMs(pending, accepted);
 		const endReading = this.#charges.watchReading(pending, account);
 		this.#uploads.read(incoming, {limitBytes: table.limits.bodyBytes, endMs}, end => {
 			endReading();
@@ -243,8 +230,8 @@
 	 * event loop later. The request starts only after that turn, and only if its caller is still connected.
 	 */
 	#routeIfConnected(pending: PendingRequest, accepted: AcceptedRequest, uploaded: UploadedBody): void {
-		setImmediate(() => {
-			setImmediate(() => {
+		runInLaterTurn(() => {
+			this.#starts.add(() => {
 				const {socket} = pending.incoming;
 				if (socket.destroyed || socket.readableEnded) {
 					uploaded.release();
@@ -267,11 +254,20 @@
 		}, {
 			table, route, service, account, callerService: this.#opts.getCallerService(), ...this.#attemptAges.measureAges(route.name, headers.deadlineMs, arrivedMs),
 		});
-		if (this.#stopMs !== undefined && request.endMs > this.#stopMs) {
-			const remainingMs = Math.max(0, this.#stopMs - this.#readNowMs());
+		const refuse = (reason: OutcomeReason, retryAfterMs: number): void => {
 			release();
 			this.#charges.release(account);
-			this.#responder.refuse(pending, 'stopping', remainingMs + expectedRestartMs);
+			this.#responder.refuse(pending, reason, retryAfterMs);
+		};
+
+		const nowMs = this.#readNowMs();
+		if (request.endMs <= nowMs) {
+			refuse('held-up', heldUpRetryAfterMs);
+			return;
+		}
+
+		if (this.#stopMs !== undefined && request.endMs > this.#stopMs) {
+			refuse('stopping', Math.max(0, this.#stopMs - nowMs) + expectedRestartMs);
 			return;
 		}
 
@@ -294,6 +290,10 @@
 		});
 	}
 
+	#getEndMs({arrivedMs, headers}: PendingRequest, {route}: AcceptedRequest): number {
+		return arrivedMs + Math.min(headers.deadlineMs ?? route.timeoutMs, route.timeoutMs);
+	}
+
 	#readNowMs(): number {
 		return this.#opts.clock.readTimestamp().monotonicMs;
 	}
--- a/node/ingress/src/parser-errors.ts
+++ b/node/ingress/src/parser-errors.ts
@@ -1,7 +1,7 @@
 import type {Socket} from 'node:net';
 import type {Duplex} from 'node:stream';
-import {setImmediate} from 'node:timers';
 import type {CallerConnections} from './caller-connections.js';
+import {runInLaterTurn} from './later-turn.js';
 import {nodeStatuses} from './node-statuses.js';
 
 const headTimeoutCode = 'ERR_HTTP_REQUEST_TIMEOUT';
@@ -17,12 +17,10 @@
 	}
 
 	const requests = connections.countRequests(socket);
-	setImmediate(() => {
-		setImmediate(() => {
-			if (connections.countRequests(socket) === requests) {
-				handleParserError(error, socket, connections);
-			}
-		});
+	runInLaterTurn(() => {
+		if (connections.countRequests(socket) === requests) {
+			handleParserError(error, socket, connections);
+		}
 	});
 }
 
--- a/node/mesh-daemon/test/crowds/caller-threads.ts
+++ b/node/mesh-daemon/test/crowds/caller-threads.ts
@@ -22,8 +22,11 @@
 
 /** How one request ended. */
 export type CallerReport = {
-	/** When it was sent, as a Unix time. A new connection is opened at that time. */
+	/** When it was sent, as a Unix time. */
 	readonly sentMs: number;
+	/** How long the connection took to be established; 0 for one that is kept. */
+	readonly connectMs: number;
+	/** Time from the sending to the answer. */
 	readonly heldMs: number;
 	/** 0 if the connection ended without an answer, -1 if the caller gave up. */
 	readonly status: number;
--- a/node/mesh-daemon/test/crowds/caller-worker.ts
+++ b/node/mesh-daemon/test/crowds/caller-worker.ts
@@ -1,5 +1,7 @@
-import process from 'node:process';
+import {once} from 'node:events';
 import {createConnection, type Socket} from 'node:net';
+import process from 'node:process';
+import {setTimeout as sleep} from 'node:timers/promises';
 import {parentPort, workerData} from 'node:worker_threads';
 import type {CallerReport, CallerTask} from './caller-threads.js';
 
@@ -17,13 +19,20 @@
 
 /** Sends one request on the connection and measures when it is answered. The status is 0 if the connection ends before. */
 async function sendOne(socket: Socket): Promise<CallerReport> {
+	const openedMs = performance.now();
+	if (socket.connecting) {
+		await Promise.race([once(socket, 'connect'), sleep(task.patienceMs, undefined, {ref: false})]).catch(() => undefined);
+	}
+
 	const sentMs = performance.now();
 	return new Promise(resolve => {
 		const finish = (status: number): void => {
 			socket.removeAllListeners('data');
 			socket.removeAllListeners('close');
 			clearTimeout(timer);
-			resolve({sentMs: performance.timeOrigin + sentMs, heldMs: performance.now() - sentMs, status});
+			resolve({
+				sentMs: performance.timeOrigin + sentMs, connectMs: sentMs - openedMs, heldMs: performance.now() - sentMs, status,
+			});
 		};
 
 		const timer = setTimeout(() => {
