--- a/node/ingress/src/caller-listener.ts
+++ b/node/ingress/src/caller-listener.ts
@@ -63,7 +63,7 @@
 		this.#intake = new ConnectionIntake({
 			clock, arrivals: this.#arrivals, isFull: waitingCount => connections.isFull(waitingCount), onEmpty: onNoneWaiting,
 		});
-		this.#intake.attach(this.#server);
+		this.#intake.replaceListeners(this.#server);
 	}
 
 	/** Number of connections that were accepted since the start. */
--- a/node/ingress/src/connection-intake.ts
+++ b/node/ingress/src/connection-intake.ts
@@ -73,7 +73,7 @@
 	}
 
 	/** Takes the place of the server's own handlers of new connections, and calls them later. */
-	attach(server: Server): void {
+	replaceListeners(server: Server): void {
 		const listeners = server.listeners('connection');
 		server.removeAllListeners('connection');
 		// An option of the TCP server that the HTTP server does not pass on.
--- a/node/ingress/src/turn-queue.ts
+++ b/node/ingress/src/turn-queue.ts
@@ -73,7 +73,7 @@
 		}
 
 		while (this.size > 0 && this.#hasTime()) {
-			this.#run(this.#takeNext());
+			this.#run(this.#pickNext());
 		}
 
 		if (hadTasks && this.size === 0) {
@@ -83,7 +83,7 @@
 		}
 	}
 
-	#takeNext(): () => void {
+	#pickNext(): () => void {
 		if (this.#opts.isNewestFirst) {
 			return this.#tasks.pop()!;
 		}
--- a/node/ingress/test/connection-bursts.test.ts
+++ b/node/ingress/test/connection-bursts.test.ts
@@ -9,7 +9,7 @@
 import {TurnQueue} from '../src/turn-queue.js';
 import {openFixture, timeoutMs} from './caller-fixture.js';
 
-function keepBusy(durationMs: number): void {
+function runBusyLoop(durationMs: number): void {
 	const endMs = performance.now() + durationMs;
 	while (performance.now() < endMs) {
 		// The process handles nothing else meanwhile.
@@ -23,7 +23,7 @@
 	for (let index = 0; index < 4; index++) {
 		queue.add(() => {
 			run.push(index);
-			keepBusy(6);
+			runBusyLoop(6);
 		});
 	}
 
@@ -106,9 +106,9 @@
 	await sleep(200);
 	socket.write('GET /x/1 HTTP/1.1\r\nhost: a.example\r\nbuckthornpoint-request-id: late\r\n\r\n');
 	await waitForTurn();
-	keepBusy(timeoutMs + 100);
-	const [answer]: unknown[] = await once(socket, 'data');
-	assert.match(String(answer), /^HTTP\/1\.1 503 /v);
+	runBusyLoop(timeoutMs + 100);
+	const events: unknown[] = await once(socket, 'data');
+	assert.match(String(events[0]), /^HTTP\/1\.1 503 /v);
 	assert.equal(routed.length, 0);
 	assert.equal(finished[0]?.reason, 'held-up');
 	socket.destroy();
@@ -139,7 +139,7 @@
 
 		for (; startedMs.length < routed.length; startedMs.push(nowMs)) {
 			// Each request takes a while, as it does on a small VM.
-			keepBusy(2);
+			runBusyLoop(2);
 		}
 	}
 
--- a/node/mesh-daemon/test/crowds/reconnects.crowd.ts
+++ b/node/mesh-daemon/test/crowds/reconnects.crowd.ts
@@ -26,7 +26,7 @@
 		bodyBytes: 1000, slots: 100, timeoutSeconds: 0.8, workMs: 50,
 	});
 	const stop = new AbortController();
-	const pulses = suspendInPulses(fleet, stop.signal);
+	const pulses = runInPulses(fleet, stop.signal);
 	const reports = await runCallers({
 		address: fleet.entry.callers, host: routeHost, method: 'POST', path: '/jobs/1', prefix: 'caller', callers, keepsConnections: false, deadlineMs: 1200, patienceMs, durationMs,
 	});
@@ -44,7 +44,7 @@
 	}
 });
 
-async function suspendInPulses(fleet: TestFleet, stop: AbortSignal): Promise<void> {
+async function runInPulses(fleet: TestFleet, stop: AbortSignal): Promise<void> {
 	while (!stop.aborted) {
 		fleet.entry.setSuspended(true);
 		await sleep(suspendedMs);
