fix: a request is answered and a part of a node goes on when the code that handles it throws

What callers saw (reproduced): a node logged an uncaught exception and went on; the request or connection of the throw was never answered and was held until its caller left, far past its time-out. The periodic work of a node, and the watch of the operator's rows, ended for good with the first error.

Cause and class: no owner for an error. A timer or loop started itself again after its work; an answer was written by a step that others had to reach; a start that failed left a process without its listeners.

Change: PeriodicTimer starts the next interval before it calls; RequestGuard answers a request whose step throws, and each one that has no answer 250 ms after its time; a connection whose handler throws is closed; calls of servers and the platform get 500; the watch of the operator's rows goes on, applies the other rows and repeats the failed one; an error caught nowhere restarts reads from the store; a process that cannot start ends. process-stalled is logged from 150 ms on, with processor time and the used share of the heap.

--- a/node/backend-link/src/backend-connection.ts
+++ b/node/backend-link/src/backend-connection.ts
@@ -90,7 +90,11 @@
 			this.#fail('the backend server did not accept the connection in time');
 		});
 		this.#socket.on('connect', () => {
-			this.#handleConnect();
+			try {
+				this.#handleConnect();
+			} catch (error) {
+				this.#fail(String(error));
+			}
 		});
 		this.#socket.on('data', chunk => {
 			this.#handleData(chunk);
--- a/node/backend-link/src/outcome.ts
+++ b/node/backend-link/src/outcome.ts
@@ -47,7 +47,7 @@
 export type OutcomeReason
 	= | 'no-configuration' | 'no-owner' | 'no-node' | 'not-held' | 'no-backend' | 'leaving' | 'evacuated' | 'silent' | 'overloaded' | 'no-memory' | 'displaced' | 'cold' | 'limited'
 		| 'expired' | 'closed' | 'refused-by-backend'
-		| 'connection-refused' | 'connection-lost' | 'garbled' | 'timeout' | 'cancelled' | 'held-up' | 'peer-lost' | 'peer-unreachable' | 'lost-on-way' | 'stopping';
+		| 'connection-refused' | 'connection-lost' | 'garbled' | 'timeout' | 'cancelled' | 'held-up' | 'peer-lost' | 'peer-unreachable' | 'lost-on-way' | 'stopping' | 'internal-error';
 
 /** The result of a request at the node of the backend server. */
 export type Outcome
--- a/node/backend-link/src/readiness-evidence.ts
+++ b/node/backend-link/src/readiness-evidence.ts
@@ -98,33 +98,35 @@
 	async #probe(candidate: Candidate): Promise<void> {
 		const {clock, healthCheck, getHealthPath, heartbeatMs, onInconclusive} = this.#opts;
 		candidate.isProbed = true;
-		let delayMs = firstRetryDelayMs;
-		while (this.#isOpen(candidate) && this.#readNowMs() - candidate.lastHeartbeatMs <= maxPauseIntervals * heartbeatMs) {
-			const path = getHealthPath(candidate.service);
-			if (path !== undefined) {
-				const report = await healthCheck.query(path);
-				if (!this.#isOpen(candidate)) {
-					break;
+		try {
+			let delayMs = firstRetryDelayMs;
+			while (this.#isOpen(candidate) && this.#readNowMs() - candidate.lastHeartbeatMs <= maxPauseIntervals * heartbeatMs) {
+				const path = getHealthPath(candidate.service);
+				if (path !== undefined) {
+					const report = await healthCheck.query(path);
+					if (!this.#isOpen(candidate)) {
+						break;
+					}
+
+					if (report.isReady && report.backendId === candidate.id) {
+						this.#complete(candidate, 'health-check', report);
+						break;
+					}
+
+					if (report.isUnfit && report.backendId === candidate.id) {
+						// Heartbeats of before count for nothing against what the server says now.
+						candidate.seriesStartMs = this.#readNowMs();
+					}
+
+					onInconclusive(candidate.key, report.isReady ? `answered by ${report.backendId ?? 'an unknown instance'}` : report.detail);
+					delayMs = Math.min(2 * delayMs, maxRetryDelayMs);
 				}
 
-				if (report.isReady && report.backendId === candidate.id) {
-					this.#complete(candidate, 'health-check', report);
-					break;
-				}
-
-				if (report.isUnfit && report.backendId === candidate.id) {
-					// Heartbeats of before count for nothing against what the server says now.
-					candidate.seriesStartMs = this.#readNowMs();
-				}
-
-				onInconclusive(candidate.key, report.isReady ? `answered by ${report.backendId ?? 'an unknown instance'}` : report.detail);
-				delayMs = Math.min(2 * delayMs, maxRetryDelayMs);
+				await clock.sleep(delayMs, this.#closed.signal);
 			}
-
-			await clock.sleep(delayMs, this.#closed.signal);
+		} finally {
+			candidate.isProbed = false;
 		}
-
-		candidate.isProbed = false;
 	}
 
 	#isOpen(candidate: Candidate): boolean {
--- a/node/cell-link/src/routes-fetch.ts
+++ b/node/cell-link/src/routes-fetch.ts
@@ -72,14 +72,18 @@
 	}
 
 	async #run(): Promise<void> {
-		for (let queries = 0; queries < maxQueries && !this.#isDone(); queries++) {
-			await this.#queryPeer();
-			if (!this.#isDone()) {
-				await this.#opts.clock.sleep(retryDelayMs);
+		try {
+			for (let queries = 0; queries < maxQueries && !this.#isDone(); queries++) {
+				await this.#queryPeer();
+				if (!this.#isDone()) {
+					await this.#opts.clock.sleep(retryDelayMs);
+				}
 			}
+		} catch (error) {
+			this.#opts.onProblem(`the document was not applied: ${String(error)}`);
+		} finally {
+			this.#isRunning = false;
 		}
-
-		this.#isRunning = false;
 	}
 
 	async #queryPeer(): Promise<void> {
--- a/node/cell-link/src/routes-task.ts
+++ b/node/cell-link/src/routes-task.ts
@@ -1,14 +1,11 @@
-import type {Clock} from '@buckthornpoint/clock/clock.js';
-import type {RandomSource} from '@buckthornpoint/clock/random.js';
 import {
 	configurationKey, decodeRouteTable, formatEvacuationKey, operatorTable, parseEvacuationKey,
 } from '@buckthornpoint/fleet/operator-rows.js';
-import type {
-	FleetStore, Snapshot, StoredRow, StoreEra,
-} from '@buckthornpoint/fleet/fleet-store.js';
+import type {Snapshot, StoredRow, StoreEra} from '@buckthornpoint/fleet/fleet-store.js';
 import type {StorePosition} from '@buckthornpoint/key-ranges/messages.js';
 import type {RouteTable} from '@buckthornpoint/routes/routes.js';
 import {ContradictedOrders, type RetainedEvacuation} from './contradicted-orders.js';
+import type {RoutesTaskOpts} from './routes-task-opts.js';
 
 /** Changes to the operator's rows in the store, and failures to read them. */
 export type OperatorChange
@@ -24,20 +21,6 @@
 		| {readonly kind: 'store-failed'; readonly problem: string}
 		| {readonly kind: 'store-regained'; readonly awayMs: number};
 
-/** Dependencies of a `RoutesTask`. */
-export type RoutesTaskOpts = {
-	readonly store: FleetStore;
-	readonly clock: Clock;
-	readonly random: RandomSource;
-	/** Whether a controller that reaches the store replies to this node: it then forwards changes that the watch misses. */
-	readonly isFollowing: () => boolean;
-	/** Waits until this node has got later routes from other nodes, if they have any. After a return of the store it may show routes that are older. */
-	readonly waitForLaterRoutes: () => Promise<void>;
-	/** Lists the failure domains that count as evacuated on this node. */
-	readonly listEvacuated: () => readonly string[];
-	readonly onChange: (change: OperatorChange) => void;
-};
-
 /** Long-poll time of a watch. A dead connection is detected shortly after it. */
 const watchTimeoutMs = 3000;
 
@@ -47,6 +30,9 @@
 /** Delay after a failure. A random part of up to the same length is added. */
 const retryDelayMs = 150;
 
+/** Delay after an error that is none of the store's. A random part of up to the same length is added. */
+const errorDelayMs = 250;
+
 /** Limit of the exponential backoff, which applies only while the controller forwards missed changes. */
 const maxFollowerRetryDelayMs = 2400;
 
@@ -75,6 +61,8 @@
 	#failedSinceMs: number | undefined;
 	#consecutiveFailures = 0;
 	#delayAbort = new AbortController();
+	/** Whether something was not applied because of an error that is none of the store's. */
+	#hasFailed = false;
 
 	constructor(opts: RoutesTaskOpts) {
 		this.#opts = opts;
@@ -102,7 +90,17 @@
 	async run(): Promise<void> {
 		let afterVersion: number | undefined;
 		while (!this.#stopAbort.signal.aborted) {
-			afterVersion = afterVersion === undefined ? await this.#readAll() : await this.#watchTable(afterVersion);
+			try {
+				afterVersion = afterVersion === undefined ? await this.#readAll() : await this.#watchTable(afterVersion);
+			} catch (error) {
+				this.#reportError(error);
+			}
+
+			if (this.#hasFailed) {
+				this.#hasFailed = false;
+				afterVersion = undefined;
+				await this.#opts.clock.sleep(errorDelayMs * (1 + this.#opts.random.generateFraction()), this.#stopAbort.signal);
+			}
 		}
 	}
 
@@ -217,8 +215,23 @@
 		}
 	}
 
-	#applyRow({key, value, version}: StoredRow): void {
-		const appliedVersion = this.#rowVersions.get(key) ?? 0;
+	#reportError(error: unknown): void {
+		this.#hasFailed = true;
+		this.#opts.onProblem(`rows of the operator were not applied and are read again: ${error instanceof Error ? error.stack ?? error.message : String(error)}`);
+	}
+
+	/** Applies a row. One that can't be applied does not keep the others from being applied. */
+	#applyRow(row: StoredRow): void {
+		const appliedVersion = this.#rowVersions.get(row.key) ?? 0;
+		try {
+			this.#applyNewerRow(row, appliedVersion);
+		} catch (error) {
+			this.#rowVersions.set(row.key, appliedVersion);
+			this.#reportError(error);
+		}
+	}
+
+	#applyNewerRow({key, value, version}: StoredRow, appliedVersion: number): void {
 		if (version <= appliedVersion) {
 			if (version < appliedVersion) {
 				this.#opts.onChange({
--- a/node/cell-link/test/routes-task.test.ts
+++ b/node/cell-link/test/routes-task.test.ts
@@ -87,6 +87,9 @@
 
 			changes.push(change);
 		},
+		onProblem(problem) {
+			assert.fail(problem);
+		},
 	});
 	void task.run();
 	return {
--- a/node/ingress/src/caller-connections.ts
+++ b/node/ingress/src/caller-connections.ts
@@ -232,10 +232,15 @@
 		const listeners = socket.listeners('data');
 		socket.removeAllListeners('data');
 		socket.on('data', (chunk: Buffer) => {
-			if (this.#admitInput(socket, chunk)) {
-				for (const listener of listeners) {
-					listener.call(socket, chunk);
+			try {
+				if (this.#admitInput(socket, chunk)) {
+					for (const listener of listeners) {
+						listener.call(socket, chunk);
+					}
 				}
+			} catch (error) {
+				this.stopInput(socket);
+				throw error;
 			}
 		});
 	}
--- a/node/ingress/src/caller-responder.ts
+++ b/node/ingress/src/caller-responder.ts
@@ -35,6 +35,8 @@
 	readonly clock: Clock;
 	readonly connections: CallerConnections;
 	readonly onFinished: (finished: FinishedRequest) => void;
+	/** Called with a description of an error of `onFinished`, which does not keep the request from being answered. */
+	readonly onProblem?: (problem: string) => void;
 	readonly getRoutesVersion: () => number | undefined;
 	/** Whether connections close after their last pending answer. */
 	readonly isStopping: () => boolean;
@@ -45,6 +47,9 @@
 /** Retry-After for a body that does not fit into the memory: other large bodies need some time to be passed on. */
 const noMemoryRetryAfterMs = 1000;
 
+/** Retry-After for a request whose handling failed before it was passed on. */
+const internalErrorRetryAfterMs = 100;
+
 /** Reason of the refusal of a request over the rate limit of its account. */
 const overLimitReason = 'account-limit';
 
@@ -138,20 +143,36 @@
 		this.#writeUnread(pending, status, {reason, ...retryAfterMs !== undefined && {retryAfterMs}});
 	}
 
+	/** Answers a request that an error of the node has ended. */
+	fail(pending: PendingRequest, kind: 'not-run' | 'unknown' | 'overdue'): void {
+		if (kind === 'not-run') {
+			this.refuse(pending, 'internal-error', internalErrorRetryAfterMs);
+			return;
+		}
+
+		const status = kind === 'overdue' ? nodeStatuses.timeout : nodeStatuses.badGateway;
+		this.report(pending, {status, outcome: 'unknown', reason: 'internal-error'});
+		this.#writeNodeAnswer(pending, status, {reason: 'internal-error'});
+	}
+
 	/** Reports how a request ended. */
 	report(pending: PendingRequest, finished: Pick<FinishedRequest, 'status' | 'outcome' | 'reason'> & Partial<FinishedRequest>): void {
-		this.#opts.onFinished({
-			requestId: pending.headers.requestId,
-			route: undefined,
-			service: undefined,
-			key: pending.headers.key,
-			tries: [],
-			tookMs: Math.round(this.#readNowMs() - pending.arrivedMs),
-			routesVersion: undefined,
-			retryAfterMs: undefined,
-			...(pending.account !== undefined && {account: pending.account}),
-			...finished,
-		});
+		try {
+			this.#opts.onFinished({
+				requestId: pending.headers.requestId,
+				route: undefined,
+				service: undefined,
+				key: pending.headers.key,
+				tries: [],
+				tookMs: Math.round(this.#readNowMs() - pending.arrivedMs),
+				routesVersion: undefined,
+				retryAfterMs: undefined,
+				...(pending.account !== undefined && {account: pending.account}),
+				...finished,
+			});
+		} catch (error) {
+			this.#opts.onProblem?.(`the end of a request was not reported: ${String(error)}`);
+		}
 	}
 
 	close(): void {
--- a/node/ingress/src/caller-server.ts
+++ b/node/ingress/src/caller-server.ts
@@ -1,42 +1,21 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
-import type {AccountLimits} from '@buckthornpoint/accounts/account-limits.js';
 import type {OutcomeReason} from '@buckthornpoint/backend-link/outcome.js';
-import type {Clock} from '@buckthornpoint/clock/clock.js';
 import {readCallerHeaders} from '@buckthornpoint/fleet/headers.js';
-import {createUnlimitedMemory, type BodyMemory} from '@buckthornpoint/frames/body-blocks.js';
+import {createUnlimitedMemory} from '@buckthornpoint/frames/body-blocks.js';
 import {WeightedSplit} from '@buckthornpoint/routes/split.js';
 import {AccountCharges} from './account-charges.js';
 import {AttemptAges} from './attempt-ages.js';
 import {CallerConnections} from './caller-connections.js';
 import {CallerListener} from './caller-listener.js';
 import {CallerResponder, type PendingRequest} from './caller-responder.js';
+import {RequestGuard} from './request-guard.js';
+import type {CallerServerOpts} from './caller-server-opts.js';
 import {CallerUploads, type UploadedBody} from './caller-uploads.js';
 import {checkRequestHead} from './check-request-head.js';
 import {createRoutedRequest, type AcceptedRequest} from './create-routed-request.js';
-import type {FinishedRequest} from './finished-request.js';
-import type {FleetView} from './fleet-view.js';
 import {runInLaterTurn} from './later-turn.js';
-import type {RequestRouter} from './request-router.js';
 import {TurnQueue} from './turn-queue.js';
 
-/** Dependencies of a caller server. */
-export type CallerServerOpts = {
-	readonly view: FleetView;
-	readonly router: Pick<RequestRouter, 'route'>;
-	readonly clock: Clock;
-	/** Returns the service of this VM, which sends all requests that this server receives. */
-	readonly getCallerService: () => string;
-	readonly onFinished: (finished: FinishedRequest) => void;
-	/** Called when a connection could not be accepted. */
-	readonly onAcceptError?: (error: Error) => void;
-	/** The memory for bodies; without a limit by default. */
-	readonly memory?: BodyMemory;
-	/** Limit for the connections of callers; none by default. */
-	readonly maxConnections?: number;
-	/** Rate limits of client accounts; none by default. */
-	readonly accountLimits?: AccountLimits;
-};
-
 /** Retry-After for a node that has not received its routes yet. */
 const noConfigurationRetryAfterMs = 500;
 
@@ -66,6 +45,7 @@
 	readonly #charges: AccountCharges;
 	readonly #listener: CallerListener;
 	readonly #starts: TurnQueue;
+	readonly #guard: RequestGuard;
 	#pendingCount = 0;
 	#hasStoppedListening = false;
 	/** During a planned stop: the time on the node's clock at which requests still pending are ended. */
@@ -80,6 +60,7 @@
 		this.#responder = new CallerResponder({
 			...opts, memory, connections: this.#connections, getRoutesVersion: () => opts.view.routeTable?.version, isStopping: () => this.#stopMs !== undefined,
 		});
+		this.#guard = new RequestGuard({clock: opts.clock, responder: this.#responder, onProblem: problem => opts.onProblem?.(problem)});
 		this.#starts = new TurnQueue({clock: opts.clock, maxMsPerTurn: maxStartMsPerTurn});
 		this.#listener = new CallerListener({
 			clock: opts.clock,
@@ -131,6 +112,7 @@
 	}
 
 	close(): void {
+		this.#guard.close();
 		this.#starts.close();
 		this.#uploads.close();
 		this.#responder.close();
@@ -165,11 +147,19 @@
 		this.#pendingCount++;
 		response.sendDate = false;
 		this.#connections.watchEnd(socket, response, () => {
+			this.#guard.remove(response);
 			this.#pendingCount--;
 			this.#connections.removeRequest(socket);
 			this.#closeIfNonePending();
 		});
-		if (this.#connections.countPending(socket) > maxPendingPerConnection) {
+		this.#guard.run(pending, false, () => {
+			this.#check(pending);
+		});
+	}
+
+	#check(pending: PendingRequest): void {
+		const {incoming} = pending;
+		if (this.#connections.countPending(incoming.socket) > maxPendingPerConnection) {
 			this.#responder.refuse(pending, 'overloaded', tooManyPendingRetryAfterMs);
 			return;
 		}
@@ -212,6 +202,7 @@
 		const {incoming} = pending;
 		const {table, account} = accepted;
 		const endMs = this.#getEndMs(pending, accepted);
+		this.#guard.add(pending, endMs);
 		const endReading = this.#charges.watchReading(pending, account);
 		this.#uploads.read(incoming, {limitBytes: table.limits.bodyBytes, endMs}, end => {
 			endReading();
@@ -240,7 +231,12 @@
 						route: accepted.route.name, status: 0, outcome: 'cancelled', reason: 'the caller left before the request began', routesVersion: accepted.table.version,
 					});
 				} else {
-					this.#route(pending, accepted, uploaded);
+					const hasSucceeded = this.#guard.run(pending, true, () => {
+						this.#route(pending, accepted, uploaded);
+					});
+					if (!hasSucceeded) {
+						uploaded.release();
+					}
 				}
 			});
 		});
@@ -277,7 +273,9 @@
 				this.#charges.release(account);
 			}
 
-			this.#responder.complete(pending, request, {result, table, route});
+			this.#guard.run(pending, true, () => {
+				this.#responder.complete(pending, request, {result, table, route});
+			});
 		});
 		this.#connections.watchEnd(incoming.socket, response, () => {
 			if (!response.writableFinished) {
--- a/node/ingress/src/connection-intake.ts
+++ b/node/ingress/src/connection-intake.ts
@@ -114,7 +114,12 @@
 		const serveOpened = (): void => {
 			this.#lastServedMs = this.#readNowMs();
 			this.#unread.set(socket, {openedMs, servedMs: this.#lastServedMs});
-			serve();
+			try {
+				serve();
+			} catch (error) {
+				socket.destroy();
+				throw error;
+			}
 		};
 
 		this.#isAccepting = true;
--- a/node/log/src/events.ts
+++ b/node/log/src/events.ts
@@ -50,7 +50,10 @@
 		| {readonly event: 'account-shares'; readonly epoch: number; readonly version: number; readonly changed: number; readonly shares: string}
 		| {readonly event: 'account-lease'; readonly isValid: boolean}
 		| {readonly event: 'grant-shortened'; readonly omitted: number}
-		| {readonly event: 'process-stalled'; readonly stalledMs: number; readonly message: string}
+		| {
+			readonly event: 'process-stalled'; readonly stalledMs: number; readonly processorMs: number; readonly sinceMs: number; readonly heapShare: number;
+			readonly message: string;
+		}
 		| {readonly event: 'accept-failed'; readonly message: string}
 		| {readonly event: 'settings-reloaded'; readonly outcome: string}
 		| {readonly event: 'internal-error'; readonly message: string};
--- a/node/mesh-daemon/src/mesh-node.ts
+++ b/node/mesh-daemon/src/mesh-node.ts
@@ -1,10 +1,11 @@
 import {type BackendGate} from '@buckthornpoint/backend-link/backend-gate.js';
-import type {Clock, Timer} from '@buckthornpoint/clock/clock.js';
+import type {Clock} from '@buckthornpoint/clock/clock.js';
+import {PeriodicTimer} from '@buckthornpoint/clock/periodic-timer.js';
 import {LeaseClock} from '@buckthornpoint/clock/lease-clock.js';
 import type {RandomSource} from '@buckthornpoint/clock/random.js';
 import type {ControlTask} from '@buckthornpoint/cell-link/control-task.js';
-import {MemberTask, type ControlCall, type NodeNotice} from '@buckthornpoint/cell-link/member-task.js';
-import {RoutesFetch, RoutesSource, type RoutesCall} from '@buckthornpoint/cell-link/routes-fetch.js';
+import {MemberTask} from '@buckthornpoint/cell-link/member-task.js';
+import {RoutesFetch, RoutesSource} from '@buckthornpoint/cell-link/routes-fetch.js';
 import {RoutesTask} from '@buckthornpoint/cell-link/routes-task.js';
 import type {BodyMemory} from '@buckthornpoint/frames/body-blocks.js';
 import type {RowStore} from '@buckthornpoint/fleet/row-store.js';
@@ -15,7 +16,7 @@
 import type {Log} from '@buckthornpoint/log/log.js';
 import {splitAddress} from '@buckthornpoint/peers/split-address.js';
 import type {PeerLinks} from '@buckthornpoint/peers/peer-links.js';
-import {PeerServer} from '@buckthornpoint/peers/peer-server.js';
+import type {PeerServer} from '@buckthornpoint/peers/peer-server.js';
 import {handleAnnouncement} from './handle-announcement.js';
 import {applyDocument, applyOperatorChange, type OperatorChangeOpts} from './apply-operator-change.js';
 import {BackendWatch} from './backend-watch.js';
@@ -27,7 +28,7 @@
 import {createGate} from './create-gate.js';
 import {createHeartbeat} from './create-heartbeat.js';
 import {createNodeMetrics} from './create-node-metrics.js';
-import {handlePeerRequest, refusePeerRequest} from './handle-peer-request.js';
+import {createPeerServer} from './create-peer-server.js';
 import {createReadinessResponse} from './readiness-response.js';
 import {LeaveRecorder} from './leave-recorder.js';
 import {logRequest} from './log-decisions.js';
@@ -74,7 +75,7 @@
 	readonly #routesSource = new RoutesSource();
 	readonly #metrics: NodeMetrics;
 	readonly #metricsServer: SimpleHttpServer;
-	#timer: Timer | undefined;
+	#timer: PeriodicTimer | undefined;
 	#isStopping = false;
 	/** Whether the node followed a controller at the last tick. */
 	#wasFollowing = false;
@@ -105,7 +106,9 @@
 		});
 		this.#gate = createGate(settings, this.#watch, {clock: opts.clock, log: opts.log, memory: this.#memory});
 		this.#links = createPeerLinks(opts.incarnation, {...opts, memory: this.#memory});
-		this.#peers = this.#createPeerServer();
+		this.#peers = createPeerServer({
+			...opts, gate: this.#gate, memory: this.#memory, routes: this.#routesSource, view: this.#view, getMember: () => this.#member, getRequestEndMs: () => this.#peerRequestEndMs,
+		});
 		this.#router = new RequestRouter({
 			ownAddress: settings.listen.peers,
 			failureDomain: settings.failureDomain,
@@ -124,6 +127,10 @@
 				},
 			},
 		});
+		const reportProblem = (message: string): void => {
+			opts.log.write({event: 'internal-error', message});
+		};
+
 		this.#callers = new CallerServer({
 			view: this.#view,
 			router: this.#router,
@@ -133,15 +140,16 @@
 			accountLimits: this.#accounts,
 			getCallerService: () => this.#watch.getLocalService(),
 			onAcceptError: ({message}) => opts.log.write({event: 'accept-failed', message}), // eslint-disable-line @typescript-eslint/no-confusing-void-expression
+			onProblem: reportProblem,
 			onFinished: finished => {
 				this.#metrics.recordFinished(finished);
 				logRequest(opts.log, finished);
 			},
 		});
-		this.#readiness = new SimpleHttpServer(call => createReadinessResponse(call, !this.#isStopping && this.#callers.getPort() > 0 && this.#view.routeTable !== undefined));
+		this.#readiness = new SimpleHttpServer(call => createReadinessResponse(call, !this.#isStopping && this.#callers.getPort() > 0 && this.#view.routeTable !== undefined), reportProblem);
 		this.#announcements = new SimpleHttpServer(async call => handleAnnouncement(call, {
 			watch: this.#watch, log: opts.log, clock: opts.clock, recordLeave: async leave => this.#leaves.record(leave), isEnding: () => this.#isEnding,
-		}));
+		}), reportProblem);
 		this.#control = createControlTask({
 			...opts, settings, timeouts: this.#timeouts, store: this.#store, view: this.#view, watch: this.#watch, links: this.#links,
 			getRoutes: () => ({task: this.#routes, fetch: this.#routesFetch}),
@@ -150,7 +158,7 @@
 		this.#metrics = createNodeMetrics({
 			settings, gate: this.#gate, memory: this.#memory, callers: this.#callers, control: this.#control, view: this.#view, watch: this.#watch, store: this.#store, accounts: this.#accounts,
 		});
-		this.#metricsServer = new SimpleHttpServer(async () => this.#metrics.createResponse());
+		this.#metricsServer = new SimpleHttpServer(async () => this.#metrics.createResponse(), reportProblem);
 		const operatorChanges: OperatorChangeOpts = {
 			view: this.#view,
 			log: opts.log,
@@ -172,6 +180,7 @@
 			onChange(change) {
 				applyOperatorChange(change, operatorChanges);
 			},
+			onProblem: reportProblem,
 		});
 		this.#routesFetch = new RoutesFetch({
 			links: this.#links,
@@ -203,6 +212,9 @@
 		]);
 		void this.#routes.run();
 		this.#member.start();
+		this.#timer = new PeriodicTimer(this.#opts.clock, tickIntervalMs, () => {
+			this.#advance();
+		});
 		this.#advance();
 	}
 
@@ -228,6 +240,12 @@
 		});
 	}
 
+	/** Begins again what an error that was caught nowhere may have stopped: a read from the store whose answer was lost waits for its time-out. */
+	refreshReads(): void {
+		this.#routes.refresh();
+		this.#member.requestHeartbeat();
+	}
+
 	close(): void {
 		this.#router.stop();
 		const servers = [this.#peers, this.#callers, this.#readiness, this.#announcements, this.#metricsServer];
@@ -238,27 +256,6 @@
 		void this.#store.close();
 	}
 
-	#createPeerServer(): PeerServer {
-		return new PeerServer(this.#opts.clock, {
-			onRequest: (received, reply) => handlePeerRequest(received, reply, {...this.#opts, gate: this.#gate, getRequestEndMs: () => this.#peerRequestEndMs}),
-			onCall: (meta, reply) => {
-				const call = meta as ControlCall | RoutesCall; // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion
-				reply('heartbeat' in call ? this.#member.handleCall(call) : this.#routesSource.createAnswer(call, this.#view.getRoutes()));
-			},
-			onNotice: meta => {
-				this.#member.handleNotice(meta as NodeNotice); // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion
-			},
-			onProblem: message => {
-				this.#opts.log.write({event: 'peer-failed', vmId: '', message});
-			},
-		}, {
-			memory: this.#memory,
-			onOverload: (meta, reply) => {
-				refusePeerRequest(meta, reply, {gate: this.#gate, log: this.#opts.log});
-			},
-		});
-	}
-
 	#createMemberTask(): MemberTask {
 		return new MemberTask({
 			address: this.#settings.listen.peers,
@@ -293,8 +290,5 @@
 
 		this.#wasFollowing = this.#member.isFollowing;
 		this.#gate.advance();
-		this.#timer = this.#opts.clock.startTimer(tickIntervalMs, () => {
-			this.#advance();
-		});
 	}
 }
--- a/node/mesh-daemon/src/run-program.ts
+++ b/node/mesh-daemon/src/run-program.ts
@@ -58,6 +58,7 @@
 	});
 	process.on('uncaughtException', error => {
 		log.write({event: 'internal-error', message: error.stack ?? error.message});
+		node.refreshReads();
 	});
 	reload.subscribe(() => {
 		log.write({event: 'settings-reloaded', outcome: readSettings(file) === undefined ? 'invalid; the earlier settings stay in force' : 'valid; takes effect at the next start'});
@@ -72,10 +73,21 @@
 			}
 		});
 	});
-	await node.start();
+	try {
+		await node.start();
+	} catch (error) {
+		// Without one of its listeners the node would be of no use, and would not say so.
+		log.write({event: 'internal-error', message: `the node could not start and ends: ${String(error)}`});
+		node.close();
+		await log.close();
+		return exitCodes.internal;
+	}
+
 	const stalls = new StallWatch({
-		clock, onStall(stalledMs) {
-			log.write({event: 'process-stalled', stalledMs, message: 'the process did not run; no connection was accepted and no check answered meanwhile'});
+		clock, onStall({lateMs, ...facts}) {
+			log.write({
+				event: 'process-stalled', stalledMs: lateMs, ...facts, message: 'connections, readiness checks and answers that were due waited for the process',
+			});
 		},
 	});
 	log.write({
--- a/node/mesh-daemon/src/stall-watch.ts
+++ b/node/mesh-daemon/src/stall-watch.ts
@@ -1,47 +1,73 @@
-import type {Clock, Timer} from '@buckthornpoint/clock/clock.js';
+import {cpuUsage} from 'node:process';
+import {getHeapStatistics} from 'node:v8';
+import type {Clock} from '@buckthornpoint/clock/clock.js';
+import {PeriodicTimer} from '@buckthornpoint/clock/periodic-timer.js';
+
+/** What the process did in an interval at whose end its timer was late. */
+export type Stall = {
+	/** How late the timer was. */
+	readonly lateMs: number;
+	/** Processor time that the process used since the timer before. Far less than `sinceMs` shows that it did not get the processor. */
+	readonly processorMs: number;
+	readonly sinceMs: number;
+	/** Used share of the heap's limit. Near 1, garbage collection takes most of the time. */
+	readonly heapShare: number;
+};
 
 /** Dependencies of a `StallWatch`. */
 export type StallWatchOpts = {
 	readonly clock: Clock;
-	/** Called after the process did not run for `stalledMs`, or ran one task for as long. */
-	readonly onStall: (stalledMs: number) => void;
+	/** Called after the process did not run in time, or handled events of one turn for as long. */
+	readonly onStall: (stall: Stall) => void;
 };
 
 const intervalMs = 250;
 
-/** A shorter stall is reported by no caller: connections wait longer before they are given up. */
-const minReportedMs = 500;
+/** A third of the half second by which an answer may be late. */
+const minReportedMs = 150;
 
-/** Reports times in which the process handled nothing: neither new connections nor readiness checks. */
+const microsecondsPerMs = 1000;
+
+/** Reports times in which the process handled nothing, or too much at once: new connections, readiness checks and answers that were due waited. */
 export class StallWatch {
 	readonly #opts: StallWatchOpts;
-	#timer: Timer;
-	#dueMs: number;
+	readonly #timer: PeriodicTimer;
+	#lastMs: number;
+	#lastProcessorMs: number;
 
 	constructor(opts: StallWatchOpts) {
 		this.#opts = opts;
-		this.#dueMs = this.#readNowMs() + intervalMs;
-		this.#timer = this.#startTimer();
+		this.#lastMs = this.#readNowMs();
+		this.#lastProcessorMs = readProcessorMs();
+		this.#timer = new PeriodicTimer(opts.clock, intervalMs, () => {
+			this.#check();
+		});
 	}
 
 	close(): void {
 		this.#timer.close();
 	}
 
-	#startTimer(): Timer {
-		return this.#opts.clock.startTimer(intervalMs, () => {
-			const nowMs = this.#readNowMs();
-			const stalledMs = nowMs - this.#dueMs;
-			if (stalledMs >= minReportedMs) {
-				this.#opts.onStall(Math.round(stalledMs));
-			}
-
-			this.#dueMs = nowMs + intervalMs;
-			this.#timer = this.#startTimer();
-		});
+	#check(): void {
+		const sinceMs = this.#readNowMs() - this.#lastMs;
+		const usedMs = readProcessorMs();
+		const processorMs = usedMs - this.#lastProcessorMs;
+		this.#lastMs += sinceMs;
+		this.#lastProcessorMs = usedMs;
+		if (sinceMs - intervalMs >= minReportedMs) {
+			const {used_heap_size: heapBytes, heap_size_limit: limitBytes} = getHeapStatistics();
+			this.#opts.onStall({
+				lateMs: Math.round(sinceMs - intervalMs), processorMs: Math.round(processorMs), sinceMs: Math.round(sinceMs), heapShare: Math.round(100 * heapBytes / limitBytes) / 100,
+			});
+		}
 	}
 
 	#readNowMs(): number {
 		return this.#opts.clock.readTimestamp().monotonicMs;
 	}
 }
+
+function readProcessorMs(): number {
+	const {user, system} = cpuUsage();
+	return (user + system) / microsecondsPerMs;
+}
--- a/node/mesh-daemon/test/signals.test.ts
+++ b/node/mesh-daemon/test/signals.test.ts
@@ -2,12 +2,13 @@
 import {spawn, type ChildProcess} from 'node:child_process';
 import {once} from 'node:events';
 import {mkdtemp, rm, writeFile} from 'node:fs/promises';
-import {createServer} from 'node:net';
+import {createServer, type AddressInfo} from 'node:net';
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
 import process from 'node:process';
 import {createInterface} from 'node:readline';
 import test from 'node:test';
+import {setTimeout as sleep} from 'node:timers/promises';
 import {fileURLToPath} from 'node:url';
 
 const entry = fileURLToPath(new URL('../src/main.js', import.meta.url));
@@ -66,10 +67,26 @@
 	assert.ok(node.events.includes('settings-reloaded'), node.events.join(', '));
 });
 
-async function startNode(runtimeArguments: readonly string[] = []): Promise<RunningNode> {
+// The process lived on without one of its listeners, and nothing started it again.
+test('a node whose port for callers is taken ends with an error', async t => {
+	const taken = createServer();
+	taken.listen(0, '127.0.0.1');
+	await once(taken, 'listening');
+	t.after(() => {
+		taken.close();
+	});
+	const {port} = taken.address() as AddressInfo; // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion
+	const node = await startNode([], `127.0.0.1:${port}`);
+	t.after(async () => node.close());
+	const [exitCode] = await Promise.race([node.ended, sleep(maxWaitMs, ['still running'], {ref: false})]);
+	assert.equal(exitCode, 1, node.events.join(', '));
+	assert.ok(node.events.includes('internal-error'));
+});
+
+async function startNode(runtimeArguments: readonly string[] = [], callerAddress?: string): Promise<RunningNode> {
 	const folder = await mkdtemp(join(tmpdir(), 'buckthornpoint-signals-'));
 	const file = join(folder, 'settings.jsonc');
-	await writeFile(file, JSON.stringify(await createSettings()));
+	await writeFile(file, JSON.stringify(await createSettings(callerAddress)));
 	const child = spawn(process.execPath, [...runtimeArguments, entry, '--settings', file], {stdio: ['ignore', 'pipe', 'pipe']});
 	const ended = once(child, 'exit');
 	const problems = createInterface({input: child.stderr});
@@ -98,15 +115,15 @@
 	};
 }
 
-async function createSettings(): Promise<unknown> {
-	const [callers, peers, readiness, announcements, nothing] = await Promise.all(Array.from({length: 5}, findFreeAddress));
+async function createSettings(callerAddress?: string): Promise<unknown> {
+	const [freeAddress, peers, readiness, announcements, nothing] = await Promise.all(Array.from({length: 5}, findFreeAddress));
 	return {
 		vmId: 'vm-1',
 		failureDomain: 'a',
 		service: 'sklad',
 		backendServer: nothing,
 		listen: {
-			callers, peers, readiness, announcements,
+			callers: callerAddress ?? freeAddress, peers, readiness, announcements,
 		},
 		store: nothing,
 		heartbeatSeconds: 0.9,
--- a/node/peers/src/open-socket.ts
+++ b/node/peers/src/open-socket.ts
@@ -14,11 +14,24 @@
 export function openSocket(address: string, {onConnect, onData, onEnd}: SocketHandlers): Socket {
 	const [host, port] = splitAddress(address);
 	const socket = createConnection({host, port, noDelay: true});
+	/** A connection whose bytes were not handled must not be used any further. */
+	const handleOrDestroy = (handle: () => void): void => {
+		try {
+			handle();
+		} catch (error) {
+			socket.destroy(error instanceof Error ? error : new Error(String(error)));
+		}
+	};
+
 	socket.on('connect', () => {
-		onConnect(socket);
+		handleOrDestroy(() => {
+			onConnect(socket);
+		});
 	});
 	socket.on('data', chunk => {
-		onData(socket, chunk);
+		handleOrDestroy(() => {
+			onData(socket, chunk);
+		});
 	});
 	for (const event of ['error', 'end', 'close'] as const) {
 		socket.on(event, (error?: Error | boolean) => {
--- a/node/peers/src/peer-server.ts
+++ b/node/peers/src/peer-server.ts
@@ -50,6 +50,9 @@
 	session: PeerSession;
 };
 
+/** Connections that may wait until the process accepts them, one in each turn of the event loop. */
+const acceptQueueLength = 4096;
+
 /** How long requests of a link keep running after its connection broke: a node that was paused reconnects within 400 ms. */
 const resumeTimeoutMs = 800;
 
@@ -81,7 +84,7 @@
 	async listen(host: string, port: number): Promise<void> {
 		await new Promise<void>((resolve, reject) => {
 			this.#server.once('error', reject);
-			this.#server.listen(port, host, resolve);
+			this.#server.listen({port, host, backlog: acceptQueueLength}, resolve);
 		});
 	}
 
