fix: waiting connections that were closed are forgotten, and a request is overdue only at a second check

Found in the review of the change: the queue kept the tasks of connections that were closed in favour of newer ones, without a bound in a lasting overload, and a queue in order never gave up the places of tasks that had run. After a stall, the check for overdue requests could run before the answers that had arrived meanwhile were read.

--- a/node/ingress/src/connection-intake.ts
+++ b/node/ingress/src/connection-intake.ts
@@ -143,6 +143,7 @@
 		const [oldest] = this.#waiting;
 		if (oldest !== undefined) {
 			this.#waiting.delete(oldest);
+			this.#queue.removeOldest();
 			this.#closedCount++;
 			oldest.destroy();
 		}
--- a/node/ingress/src/request-guard.ts
+++ b/node/ingress/src/request-guard.ts
@@ -6,7 +6,7 @@
 const checkIntervalMs = 100;
 
 /** How long after its end a request without an answer counts as overdue. The parts that handle it end it earlier. */
-const overdueMs = 250;
+const overdueMs = 200;
 
 /** Dependencies of a `RequestGuard`. */
 export type RequestGuardOpts = {
@@ -16,7 +16,7 @@
 	readonly onProblem: (problem: string) => void;
 };
 
-type Guarded = {readonly pending: PendingRequest; readonly endMs: number};
+type Guarded = {readonly pending: PendingRequest; readonly endMs: number; isOverdue: boolean};
 
 /** Sees to it that each request gets a final answer, also if the code that handles it throws or loses track of it. */
 export class RequestGuard {
@@ -33,7 +33,7 @@
 
 	/** Guards a request that must be answered by `endMs` on the node's clock. */
 	add(pending: PendingRequest, endMs: number): void {
-		this.#guarded.set(pending.response, {pending, endMs});
+		this.#guarded.set(pending.response, {pending, endMs, isOverdue: false});
 	}
 
 	remove(response: PendingRequest['response']): void {
@@ -70,8 +70,11 @@
 
 	#failOverdue(): void {
 		const nowMs = this.#opts.clock.readTimestamp().monotonicMs;
-		for (const [response, {pending, endMs}] of this.#guarded) {
-			if (nowMs - endMs >= overdueMs) {
+		for (const [response, guarded] of this.#guarded) {
+			const {pending, endMs, isOverdue} = guarded;
+			// After a stall of the process, its answer may be waiting to be read, and is by the next check.
+			guarded.isOverdue = nowMs - endMs >= overdueMs;
+			if (isOverdue) {
 				this.#guarded.delete(response);
 				if (!response.headersSent) {
 					this.#opts.onProblem(`the request ${pending.headers.requestId ?? ''} has no answer ${Math.round(nowMs - endMs)} ms after its time, and it is ended`);
--- a/node/ingress/src/turn-queue.ts
+++ b/node/ingress/src/turn-queue.ts
@@ -1,6 +1,9 @@
 import {setImmediate} from 'node:timers';
 import type {Clock} from '@buckthornpoint/clock/clock.js';
 
+/** Tasks that have run are removed from the list once they are this many. */
+const maxRunTasks = 1024;
+
 /** Limits of a `TurnQueue`. */
 export type TurnQueueOpts = {
 	readonly clock: Clock;
@@ -46,6 +49,11 @@
 		this.#scheduleTurn();
 	}
 
+	/** Drops the task that waits for longest. */
+	removeOldest(): void {
+		this.#tasks.splice(this.#next, 1);
+	}
+
 	/** Drops the waiting tasks. */
 	close(): void {
 		this.#isClosed = true;
@@ -90,6 +98,11 @@
 
 		const task = this.#tasks[this.#next]!;
 		this.#next++;
+		if (this.#next >= maxRunTasks) {
+			this.#tasks = this.#tasks.slice(this.#next);
+			this.#next = 0;
+		}
+
 		return task;
 	}
 
--- a/node/ingress/test/connection-bursts.test.ts
+++ b/node/ingress/test/connection-bursts.test.ts
@@ -65,6 +65,42 @@
 	assert.deepEqual([queue.size, emptied], [0, 1]);
 });
 
+test('the task that was added last runs first, and the oldest can be dropped', async () => {
+	let isHeldBack = true;
+	const run: number[] = [];
+	const queue = new TurnQueue({
+		clock: new ManualClock(), maxMsPerTurn: 5, isNewestFirst: true, isHeldBack: () => isHeldBack,
+	});
+	for (let index = 0; index < 4; index++) {
+		queue.add(() => {
+			run.push(index);
+		});
+	}
+
+	queue.removeOldest();
+	isHeldBack = false;
+	await waitForTurn();
+	await waitForTurn();
+	assert.deepEqual([run, queue.size], [[3, 2, 1], 0]);
+});
+
+test('tasks that wait in order run once each, however many there are', async () => {
+	const run: number[] = [];
+	let isHeldBack = true;
+	const queue = new TurnQueue({clock: new ManualClock(), maxMsPerTurn: 5, isHeldBack: () => isHeldBack});
+	const expected = Array.from({length: 3000}, (_each, index) => index);
+	for (const index of expected) {
+		queue.add(() => {
+			run.push(index);
+		});
+	}
+
+	isHeldBack = false;
+	await waitForTurn();
+	await waitForTurn();
+	assert.deepEqual(run, expected);
+});
+
 // The time-out of a request began when it was read, however long it had waited; its caller was held for both.
 test('bytes that are read after a long turn count from the turn in which they may have arrived', () => {
 	const clock = new ManualClock();
