fix: a request that waits for its start beyond its time is refused as not run, and a queue goes on after a lost turn

What callers saw: in a burst of 1,500 connections at half a processor, requests that waited for their start were ended with 504 up to 0.36 s past their time, as if they might have run, and each was logged as an internal-error, a level that is not limited. Found on by playing the burst again and reading the log.

Cause: the guard of requests knew whether a request was overdue and not whether it had begun. Now one that waits for its start is refused as held-up, at the first check after its time, and is not started afterwards.

An error in the place of the queue's callback stopped the queue for good: 9 of 9 later requests were not served.

Tests: request-guard.test.ts fails without the change to the guard (no setWaiting).

--- a/node/ingress/src/caller-server.ts
+++ b/node/ingress/src/caller-server.ts
@@ -8,7 +8,7 @@
 import {CallerConnections} from './caller-connections.js';
 import {CallerListener} from './caller-listener.js';
 import {CallerResponder, type PendingRequest} from './caller-responder.js';
-import {RequestGuard} from './request-guard.js';
+import {heldUpRetryAfterMs, RequestGuard} from './request-guard.js';
 import type {CallerServerOpts} from './caller-server-opts.js';
 import {CallerUploads, type UploadedBody} from './caller-uploads.js';
 import {checkRequestHead} from './check-request-head.js';
@@ -28,9 +28,6 @@
 /** Time from the end of a planned stop until the restarted process has received its routes and accepts requests. */
 export const expectedRestartMs = 1000;
 
-/** Retry-After for a request that had waited for its whole time when it was read. */
-const heldUpRetryAfterMs = 100;
-
 /** Time in each turn of the event loop for requests that begin. */
 const maxStartMsPerTurn = 3;
 
@@ -221,10 +218,15 @@
 	 * event loop later. The request starts only after that turn, and only if its caller is still connected.
 	 */
 	#routeIfConnected(pending: PendingRequest, accepted: AcceptedRequest, uploaded: UploadedBody): void {
+		this.#guard.setWaiting(pending.response, true);
 		runInLaterTurn(() => {
 			this.#starts.add(() => {
-				const {socket} = pending.incoming;
-				if (socket.destroyed || socket.readableEnded) {
+				const {incoming: {socket}, response} = pending;
+				this.#guard.setWaiting(response, false);
+				if (response.headersSent) {
+					uploaded.release();
+					this.#charges.release(accepted.account);
+				} else if (socket.destroyed || socket.readableEnded) {
 					uploaded.release();
 					this.#charges.release(accepted.account);
 					this.#responder.report(pending, {
--- a/node/ingress/src/request-guard.ts
+++ b/node/ingress/src/request-guard.ts
@@ -5,18 +5,21 @@
 /** Interval of the checks for requests that are overdue. */
 const checkIntervalMs = 100;
 
+/** Retry-After for a request that had waited for its whole time before it was started. */
+export const heldUpRetryAfterMs = 100;
+
 /** How long after its end a request without an answer counts as overdue. The parts that handle it end it earlier. */
 const overdueMs = 200;
 
 /** Dependencies of a `RequestGuard`. */
 export type RequestGuardOpts = {
 	readonly clock: Clock;
-	readonly responder: Pick<CallerResponder, 'fail'>;
+	readonly responder: Pick<CallerResponder, 'fail' | 'refuse'>;
 	/** Called with a description of an error in the handling of a request, or of a request that is overdue. */
 	readonly onProblem: (problem: string) => void;
 };
 
-type Guarded = {readonly pending: PendingRequest; readonly endMs: number; isOverdue: boolean};
+type Guarded = {readonly pending: PendingRequest; readonly endMs: number; isWaiting: boolean; isOverdue: boolean};
 
 /** Sees to it that each request gets a final answer, also if the code that handles it throws or loses track of it. */
 export class RequestGuard {
@@ -33,7 +36,17 @@
 
 	/** Guards a request that must be answered by `endMs` on the node's clock. */
 	add(pending: PendingRequest, endMs: number): void {
-		this.#guarded.set(pending.response, {pending, endMs, isOverdue: false});
+		this.#guarded.set(pending.response, {
+			pending, endMs, isWaiting: false, isOverdue: false,
+		});
+	}
+
+	/** Records whether the request is complete and waits for its start. It is refused at its end then. */
+	setWaiting(response: PendingRequest['response'], isWaiting: boolean): void {
+		const guarded = this.#guarded.get(response);
+		if (guarded !== undefined) {
+			guarded.isWaiting = isWaiting;
+		}
 	}
 
 	remove(response: PendingRequest['response']): void {
@@ -71,7 +84,13 @@
 	#failOverdue(): void {
 		const nowMs = this.#opts.clock.readTimestamp().monotonicMs;
 		for (const [response, guarded] of this.#guarded) {
-			const {pending, endMs, isOverdue} = guarded;
+			const {pending, endMs, isWaiting, isOverdue} = guarded;
+			if (isWaiting && nowMs >= endMs) {
+				this.#guarded.delete(response);
+				this.#opts.responder.refuse(pending, 'held-up', heldUpRetryAfterMs);
+				continue;
+			}
+
 			// After a stall of the process, its answer may be waiting to be read, and is by the next check.
 			guarded.isOverdue = nowMs - endMs >= overdueMs;
 			if (isOverdue) {
--- a/node/ingress/src/turn-queue.ts
+++ b/node/ingress/src/turn-queue.ts
@@ -4,6 +4,9 @@
 /** Tasks that have run are removed from the list once they are this many. */
 const maxRunTasks = 1024;
 
+/** A turn that has not come after this time is lost, and another one is scheduled. */
+const lostTurnMs = 1000;
+
 /** Limits of a `TurnQueue`. */
 export type TurnQueueOpts = {
 	readonly clock: Clock;
@@ -26,7 +29,8 @@
 	#tasks: Array<() => void> = [];
 	#next = 0;
 	#usedMs = 0;
-	#isScheduled = false;
+	/** When the next turn was scheduled; undefined if none is. */
+	#scheduledMs: number | undefined;
 	#isClosed = false;
 
 	constructor(opts: TurnQueueOpts) {
@@ -62,13 +66,14 @@
 	}
 
 	#scheduleTurn(): void {
-		if (this.#isScheduled || this.#isClosed) {
+		const nowMs = this.#readNowMs();
+		if (this.#isClosed || (this.#scheduledMs !== undefined && nowMs - this.#scheduledMs < lostTurnMs)) {
 			return;
 		}
 
-		this.#isScheduled = true;
+		this.#scheduledMs = nowMs;
 		setImmediate(() => {
-			this.#isScheduled = false;
+			this.#scheduledMs = undefined;
 			this.#usedMs = 0;
 			this.#runWaiting();
 		});
--- a/node/ingress/test/request-guard.test.ts
+++ b/node/ingress/test/request-guard.test.ts
@@ -3,12 +3,15 @@
 import {createConnection} from 'node:net';
 import test, {type TestContext} from 'node:test';
 import {MemoryBudget} from '@buckthornpoint/admission/memory-budget.js';
+import {ManualClock} from '@buckthornpoint/clock/manual-clock.js';
 import {SystemClock} from '@buckthornpoint/clock/system-clock.js';
 import {BodyMemory} from '@buckthornpoint/frames/body-blocks.js';
 import type {RouteTable} from '@buckthornpoint/routes/routes.js';
 import {CallerServer} from '../src/caller-server.js';
 import type {CallerServerOpts} from '../src/caller-server-opts.js';
+import type {PendingRequest} from '../src/caller-responder.js';
 import {FleetView} from '../src/fleet-view.js';
+import {RequestGuard} from '../src/request-guard.js';
 
 const timeoutMs = 300;
 
@@ -90,3 +93,35 @@
 	assert.match(text, /^HTTP\/1\.1 504 /v);
 	assert.match(problems[0] ?? '', /the report fails/v);
 });
+
+// Requests that waited for their start in a burst were ended with 504 as if they might have run, and logged as errors of the node.
+test('a request that waits for its start beyond its time is refused as not run, and is not an error of the node', t => {
+	const clock = new ManualClock();
+	const refused: string[] = [];
+	const guard = new RequestGuard({
+		clock,
+		responder: {
+			fail() {
+				assert.fail('the request has not failed');
+			},
+			refuse(_pending, reason) {
+				refused.push(reason);
+			},
+		},
+		onProblem(problem) {
+			assert.fail(problem);
+		},
+	});
+	t.after(() => {
+		guard.close();
+	});
+	const pending = {response: {headersSent: false}} as unknown as PendingRequest; // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion
+	guard.add(pending, timeoutMs);
+	guard.setWaiting(pending.response, true);
+	clock.advance(timeoutMs - 1);
+	assert.deepEqual(refused, []);
+	clock.advance(100);
+	assert.deepEqual(refused, ['held-up']);
+	clock.advance(1000);
+	assert.deepEqual(refused, ['held-up']);
+});
