fix: a controller whose timer was lost starts it again

Cause: the timer of the controller's steps started itself again in its callback. It is a PeriodicTimer now, and each heartbeat starts it again if it is over a second late. The heartbeats come from other nodes and so do not depend on it.

--- a/node/cell-link/src/control-task.ts
+++ b/node/cell-link/src/control-task.ts
@@ -1,4 +1,4 @@
-import type {Timer} from '@buckthornpoint/clock/clock.js';
+import {PeriodicTimer} from '@buckthornpoint/clock/periodic-timer.js';
 import {noOwnershipRules} from '@buckthornpoint/key-ranges/classify-backend.js';
 import {maxClockDrift} from '@buckthornpoint/key-ranges/clock-drift.js';
 import type {HeartbeatReply, MemberHeartbeat} from '@buckthornpoint/key-ranges/messages.js';
@@ -23,7 +23,7 @@
 	#controller: RangeController | undefined;
 	#shares: ControllerShares | undefined;
 	readonly #vouchers: ControllerVouchers;
-	#timer: Timer | undefined;
+	#timer: PeriodicTimer | undefined;
 	#isWriting = false;
 	#isClosed = false;
 	/** Set once the node begins to stop. From then on it does not acquire the controller lease. */
@@ -52,6 +52,7 @@
 			return undefined;
 		}
 
+		this.#timer?.refresh();
 		if (heartbeat.epoch > controller.epoch) {
 			this.#stepDown(`heartbeat of ${heartbeat.vmId} carries the newer epoch ${heartbeat.epoch}`);
 			return undefined;
@@ -142,10 +143,9 @@
 
 	#startTimer(): void {
 		this.#timer?.close();
-		this.#timer = this.#opts.clock.startTimer(times.planIntervalMs, () => {
+		this.#timer = new PeriodicTimer(this.#opts.clock, times.planIntervalMs, () => {
 			if (this.#controller !== undefined && !this.#isClosed) {
 				void this.#step(this.#controller);
-				this.#startTimer();
 			}
 		});
 	}
